Judge the time of calls relative to their class

claim-settle takes several times as long as the other classes. The module kept one mean of the time a call takes at each server, so servers that answered a few settlements looked too slow for look-ups and notices; these were held, even with an idle server, and refused, and then only settlements were left to judge the servers by.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -54,24 +54,16 @@
     private static final double CALM = 2.3;
     /** And while calls on the whole take less than this multiple: a burst after calm is no crowd. */
     private static final double TENSE = 1.3;
-    /** Part by which the calm time grows at each answer: what was calm thousands of calls ago may not be. */
-    private static final double CALM_GROWTH = 0.0003;
     /** Classes worth up to so many times the least are not favoured: they may be half of all traffic. */
     private static final double FAVOURED = 4;
     /** A server's turn comes at most this many times as seldom, or as often, as the usual one's. */
     private static final double MOST_SLOWNESS = 20;
     /** The part of what would push a cold server over that all copies together may send it. */
     private static final double COLD_MARGIN = 0.5;
-    /** A call that has less time left than this part of the calls take is hopeless. */
-    private static final double QUICK = 0.3;
-    /** What is usual is at most this multiple of what is quick. */
-    private static final double USUAL = 2;
     /**
      * A held call must have this multiple of a usual call left: sent at the last moment, half would be late.
      */
     private static final double HELD_MARGIN = 1.4;
-    /** Step of that quantile's running estimate. */
-    private static final double QUICK_STEP = 0.05;
     /** A rest is doubled at each further failure, so many times at most. */
     private static final int MOST_DOUBLINGS = 4;
     /** A call counts as overdue after this many times the expected, as the times of calls spread widely. */
@@ -101,7 +93,7 @@
     /** At most one line for the operator in this time: trouble comes in crowds. */
     private static final long SAY_AGAIN_US = 10_000_000;
     /** Weight of the newest value in a running mean. */
-    private static final double MEAN_WEIGHT = 0.1;
+    private static final double MEAN_WEIGHT = CallTimes.MEAN_WEIGHT;
 
     /** Which servers are looked for: all, those known to be idle, those of which nothing is known. */
     private enum Wanted { ANY, FOUND_IDLE, UNKNOWN }
@@ -140,15 +132,7 @@
     private double probeUs;
     /** Mean of the loads that probed servers reported: what a server not asked just now is taken to hold. */
     private double reportedLoad;
-    /** Time that a call takes for each call in flight at its server, over all servers. */
-    private double callUs;
-    /** The time for each call in flight that {@link #QUICK} of the calls stay under. */
-    private double quickUs;
-    private double tookUs;
-    /** Running mean of the time that calls took, and the least that it was: while servers were calm. */
-    private double meanUs;
-    private double calmUs = Double.MAX_VALUE;
-    private double ahead;
+    private final CallTimes times;
     private double workUs;
     /** The time that clients give a first try. */
     private double firstTryUs;
@@ -170,6 +154,7 @@
         this.random = new SplittableRandom(seed);
         this.sharesAtUs = new double[settings.tenants().size()];
         Arrays.fill(sharesAtUs, Long.MIN_VALUE);
+        this.times = new CallTimes(settings.classes().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
         this.leastWorth = settings.classes().stream().mapToDouble(RequestClass::worth).min().orElseThrow();
         double price = settings.prices().probe() * settings.tiers();
@@ -331,8 +316,8 @@
      * is the turn: were it kept by assignment alone, slow servers would get as many calls as fast ones.
      */
     private double slowness(Backend s) {
-        return s.ahead == 0 || callUs == 0 ? 1
-                : Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, s.callUs() / callUs));
+        return s.ahead == 0 || times.callUs() == 0 ? 1
+                : Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, s.callUs() / times.callUs()));
     }
 
     /** Where crossing zones has a price, servers of other zones come some rounds later. */
@@ -397,7 +382,7 @@
         if (nowUs + leastUs(call) > call.endAtUs || nowUs >= call.endAtUs) {
             if (!call.held) {
                 // Else one slow spell could make all later calls look hopeless, with nothing learnt.
-                quickUs *= 1 - QUICK_STEP * QUICK;
+                times.hopeForQuicker();
             }
             giveUp(nowUs, call);
             return;
@@ -468,8 +453,9 @@
         Attempt attempt = new Attempt(call, s, nowUs, load(nowUs, s) + call.size,
                 probesEarned == 0 || s.reportUntilUs > nowUs);
         call.attempts.add(attempt);
-        if (callUs > 0) {
-            attempt.overdueAtUs = nowUs + (long) (CALL_OVERDUE * callUs * attempt.ahead);
+        if (times.callUs() > 0) {
+            attempt.overdueAtUs = nowUs
+                    + (long) (CALL_OVERDUE * times.callUs() * attempt.ahead * length(call));
             sent.add(attempt);
             wake(sent.peek().overdueAtUs);
         }
@@ -532,7 +518,7 @@
         // only own calls tell, others may crowd one that looks idle, so its last calls count for a while.
         boolean idle = assumedLoad(nowUs, s) == 0 && (told(nowUs) || !seenLately(nowUs, s));
         double expectedUs = expectedUs(nowUs, call, s);
-        return idle || expectedUs <= timeUs * CROWD && !crowded(nowUs, s, expectedUs);
+        return idle || expectedUs <= timeUs * CROWD && !crowded(nowUs, call, s, expectedUs);
     }
 
     /**
@@ -543,10 +529,11 @@
      * nothing is held. A general slowness from below looks the same: then a copy keeps to its first calls at
      * each server.
      */
-    private boolean crowded(long nowUs, Backend s, double expectedUs) {
+    private boolean crowded(long nowUs, Call call, Backend s, double expectedUs) {
         double sharers = Math.max(1, (double) settings.copies() * circle(nowUs) / servers.size());
         return load(nowUs, s) * sharers >= JOINT_CALLS
-                && meanUs > calmUs * TENSE && expectedUs > calmUs * CALM;
+                && times.meanUs() > times.calmUs() * TENSE
+                && expectedUs > times.calmUs() * length(call) * CALM;
     }
 
     /** Whether a call to the server ended so lately that its time still counts. */
@@ -563,9 +550,9 @@
      * resting for it: late work is wasted and keeps the crowd from clearing.
      */
     private double expectedUs(long nowUs, Call call, Backend s) {
-        double usual = callUs / share(s, nowUs);
+        double usual = times.callUs() / share(s, nowUs);
         double each = seenLately(nowUs, s) ? s.callUs() : s.ahead > 0 ? Math.min(s.callUs(), usual) : usual;
-        return each * (assumedLoad(nowUs, s) + call.size * HOPE);
+        return each * (assumedLoad(nowUs, s) + call.size * HOPE) * length(call);
     }
 
     /** Calls in flight: this copy's own, or all copies' where the server said so just now. */
@@ -579,7 +566,11 @@
 
     /** The least that this call can be hoped to take. */
     private double leastUs(Call call) {
-        return (call.held ? callUs * HELD_MARGIN : quickUs) * call.size;
+        return (call.held ? times.callUs() * HELD_MARGIN : times.quickUs()) * call.size * length(call);
+    }
+
+    private double length(Call call) {
+        return times.length(call.request.requestClass());
     }
 
     /**
@@ -682,22 +673,12 @@
             closeIdle(attempt.server.id);
         }
         judge(nowUs, attempt.server, outcome);
-        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && (attempt.known || callUs == 0)) {
-            tookUs += elapsedUs - tookUs * MEAN_WEIGHT / 2;
-            ahead += attempt.ahead - ahead * MEAN_WEIGHT / 2;
-            double each = elapsedUs / attempt.ahead;
-            meanUs += (elapsedUs - meanUs) * (meanUs == 0 ? 1 : MEAN_WEIGHT);
-            calmUs = Math.min(calmUs * (1 + CALM_GROWTH), meanUs);
-            quickUs = quickUs == 0 ? each : quickUs * (1 + QUICK_STEP * (each < quickUs ? QUICK - 1 : QUICK));
-            // A few servers that take seconds must not pass for usual: the mean is capped.
-            callUs = Math.min(tookUs / ahead, USUAL * quickUs);
-            Backend s = attempt.server;
-            s.tookUs += elapsedUs - s.tookUs * MEAN_WEIGHT;
-            s.ahead += attempt.ahead - s.ahead * MEAN_WEIGHT;
-            s.callSeenUs = nowUs;
+        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && (attempt.known || times.callUs() == 0)) {
+            times.add(attempt, outcome == Outcome.OK, elapsedUs);
+            attempt.server.callSeenUs = nowUs;
         } else if (outcome == Outcome.FULL) {
             attempt.server.reported = FULL_LOAD;
-            attempt.server.reportUntilUs = nowUs + (long) (callUs * BUSY_HOLDS);
+            attempt.server.reportUntilUs = nowUs + (long) (times.callUs() * BUSY_HOLDS);
         }
         if (attempt.toldIdle()) {
             judgeReports(nowUs, outcome == Outcome.FULL || outcome == Outcome.TIMEOUT);
@@ -888,7 +869,7 @@
                 // Else servers never idle would be asked first each time, and pass for all others.
                 s.turnAtUs = Math.max(s.turnAtUs, nowUs);
             }
-            s.reportUntilUs = nowUs + (long) (s.reported > 0 ? s.reported * callUs * BUSY_HOLDS
+            s.reportUntilUs = nowUs + (long) (s.reported > 0 ? s.reported * times.callUs() * BUSY_HOLDS
                     : OVERDUE * probeUs);
             if (s.failures == 0) {
                 s.demotedUntilUs = Long.MIN_VALUE;
@@ -896,7 +877,7 @@
         } else if (outcome == Outcome.CONNECT_FAILED) {
             judge(nowUs, s, outcome);
         } else {
-            s.demotedUntilUs = Math.max(s.demotedUntilUs, nowUs + (long) (OVERDUE * callUs));
+            s.demotedUntilUs = Math.max(s.demotedUntilUs, nowUs + (long) (OVERDUE * times.callUs()));
             s.unanswered++;
             reportedLoad -= MEAN_WEIGHT * reportedLoad;
         }
@@ -932,7 +913,7 @@
                 next = at;
             }
         }
-        return Math.min(next, nowUs + (long) (callUs * BUSY_HOLDS) + settings.tickUs());
+        return Math.min(next, nowUs + (long) (times.callUs() * BUSY_HOLDS) + settings.tickUs());
     }
 
     /** Does what has become due: asks discovery, sends what waited, ends what waited too long. */
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1220,6 +1220,23 @@
             assertTrue(sentAtOnce(setup, 5) > usual);
         }
 
+        @Test
+        void longCallsDoNotMakeTheirServerLookTooSlowForShortOnes() {
+            // Settlements took ten times as long as look-ups, and once these were held back only settlements
+            // were left to judge the servers by: look-ups were refused for good, even by idle servers.
+            Proxy.Setup setup = setup();
+            setup.more = List.of(new RequestClass("long", 2_000 * MS, 4_000 * MS, 3, 0.3, Effect.SAFE,
+                    DedupGroup.ALL, 0));
+            Proxy p = new Proxy(setup).with("a");
+            p.serve();
+            for (int i = 0; i < 12; i++) {
+                String r = p.request(4);
+                p.pass(500);
+                p.logic.outcome(p.now, r, 0, "a", Outcome.OK, 500 * MS, true, null);
+            }
+            assertEquals("a", p.at(p.request(Proxy.SAFE)), "held though its server is idle");
+        }
+
         @Test
         void aMarkedLastTryWhoseAimHasPassedIsNotSent() {
             // A last try has all that is left of the client's time, which tells when the first one came; work
