Read all of an answer before its connection takes the next call

A backend that sends its answer twice left the copy in the connection's buffer. A body longer than its Content-Length left bytes behind in the same way.

Now the answer counts when the read is over: what came after it closes the connection, and an answer followed by bytes that are no HTTP counts as a reset, as its body may be cut off. Stray bytes on an idle connection close it. Ruled out: two calls on one connection (never seen in the log), bodies cut off by a close (these were resets already).

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -13,8 +13,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -164,7 +164,8 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY), c);
+                channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(),
+                        new HttpObjectAggregator(MOST_BODY), c);
             }
         }).connect(address);
         c.channel = connecting.channel();
@@ -228,9 +229,13 @@
     /** A connection, and the call that it carries now. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
+        final AnswerDecoder decoder = new AnswerDecoder();
         Channel channel;
         Call call;
         long idleSinceUs;
+        /** The answer to the call, until all that came with it has been read. */
+        private Result answer;
+        private boolean keepAlive;
 
         Connection(InetSocketAddress address) {
             this.address = address;
@@ -271,24 +276,42 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
-            Call answered = call;
-            call = null;
-            if (answered == null) {
+            if (call == null) {
                 log.line("an answer from " + address + " that nothing asked for");
                 ctx.close();
                 return;
             }
-            if (response.decoderResult().isFailure()) {
-                ctx.close();
-                answered.end(Result.without(Outcome.RESET));
-                return;
-            }
-            if (answered.written && HttpUtil.isKeepAlive(response)) {
-                keep();
-            } else {
+            // A second answer to one request is dropped with its connection; one that is no HTTP may be what
+            // is left of a body that was longer than its head said.
+            boolean whole = response.decoderResult().isSuccess()
+                    && (answer == null || answer.outcome() != Outcome.RESET);
+            keepAlive = whole && answer == null && call.written && HttpUtil.isKeepAlive(response);
+            answer = !whole ? Result.without(Outcome.RESET) : answer == null ? result(response) : answer;
+        }
+
+        /**
+         * The answer counts, and its connection may serve again, only when all that has arrived is read: what
+         * came after its end would pass for the answer to the next request.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            boolean surplus = decoder.surplus();
+            Call answered = call;
+            Result given = surplus ? Result.without(Outcome.RESET) : answer;
+            if (answered == null && surplus) {
+                log.line("bytes from " + address + " that nothing asked for");
                 ctx.close();
+            } else if (answered != null && answer != null) {
+                call = null;
+                answer = null;
+                if (keepAlive && !surplus) {
+                    keep();
+                } else {
+                    ctx.close();
+                }
+                answered.end(given);
             }
-            answered.end(result(response));
+            ctx.fireChannelReadComplete();
         }
 
         private void keep() {
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -16,9 +16,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -57,8 +59,11 @@
     }
 
     private Handle send(InetSocketAddress address, boolean wanted, long timeoutUs) throws Exception {
-        return loop.submit(() -> pool.send(address, new Outgoing(BackendPoolTest::message, () -> wanted,
-                timeoutUs, Outcome.TIMEOUT), results::add)).get();
+        return loop.submit(() -> pool.send(address, outgoing(wanted, timeoutUs), results::add)).get();
+    }
+
+    private static Outgoing outgoing(boolean wanted, long timeoutUs) {
+        return new Outgoing(BackendPoolTest::message, () -> wanted, timeoutUs, Outcome.TIMEOUT);
     }
 
     private static FullHttpRequest message() {
@@ -88,16 +93,54 @@
             ERROR | 404 Odd                              | Content-Length: 2
             RESET | 200 OK                               | Content-Length: 9
             RESET | nonsense                             | Content-Length: 2
+            RESET | 200 OK                               | Content-Length: 1
+            RESET | 200 OK                               | Content-Length: 0
+            OK    | 200 OK                               | Content-Length: 2;X-Empty:
+            OK    | 200 OK                               | Content-Length: 2;X-Folded: a;  b
+            OK    | 200 OK                               | Connection: close
+            OK    | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2
             """)
     void readsAnswers(Outcome outcome, String status, String headers) throws Exception {
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.write("HTTP/1.1 " + status + "\r\n" + headers.replace(";", "\r\n") + "\r\n\r\nab");
+            connection.write(("HTTP/1.1 " + status + ";" + headers).replace(";", "\r\n") + "\r\n\r\nab");
             connection.close();
         })) {
             assertEquals(outcome, call(backend.address()));
         }
     }
 
+    /** The copy stood in the buffer when the next call took the connection, and passed for its answer. */
+    @Test
+    void aSecondAnswerToOneRequestIsNotTakenForTheNextOnes() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + calls.incrementAndGet();
+            connection.write(answer + answer);
+        })) {
+            BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+            loop.submit(() -> pool.send(backend.address(), outgoing(true, LONG_US), first -> {
+                bodies.add(new String(first.body(), StandardCharsets.UTF_8));
+                pool.send(backend.address(), outgoing(true, LONG_US),
+                        next -> bodies.add(new String(next.body(), StandardCharsets.UTF_8)));
+            })).get();
+            assertEquals("1", bodies.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals("2", bodies.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** Without the end of a line no answer is read from them, yet they would spoil the next one. */
+    @Test
+    void bytesOnAnIdleConnectionEndIt() throws Exception {
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.answer("200 OK", "x");
+            results.take();
+            connection.write("stray");
+        })) {
+            send(backend.address(), true, LONG_US);
+            backend.awaitEnded();
+        }
+    }
+
     @Test
     void aBreakAfterTheRequestIsAReset() throws Exception {
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> connection.reset())) {
