Take an answer whose head has a line without a colon for no answer

Netty's decoder reads such a line as a header without a value when it has a space in it, so the answer went to the client as served. The attempt now counts as a reset: it failed and may have run.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -252,6 +252,7 @@
                 keep();
                 toWrite.end(Result.without(Outcome.NOT_SENT));
             } else {
+                decoder.expectAnswer();
                 channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
                     if (done.isSuccess()) {
                         toWrite.written = true;
@@ -283,7 +284,7 @@
             }
             // A second answer to one request is dropped with its connection; one that is no HTTP may be what
             // is left of a body that was longer than its head said.
-            boolean whole = response.decoderResult().isSuccess()
+            boolean whole = response.decoderResult().isSuccess() && !decoder.malformed()
                     && (answer == null || answer.outcome() != Outcome.RESET);
             keepAlive = whole && answer == null && call.written && HttpUtil.isKeepAlive(response);
             answer = !whole ? Result.without(Outcome.RESET) : answer == null ? result(response) : answer;
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -93,12 +93,14 @@
             ERROR | 404 Odd                              | Content-Length: 2
             RESET | 200 OK                               | Content-Length: 9
             RESET | nonsense                             | Content-Length: 2
+            RESET | 200 OK                               | Content-Length: 2;no colon here
             RESET | 200 OK                               | Content-Length: 1
             RESET | 200 OK                               | Content-Length: 0
             OK    | 200 OK                               | Content-Length: 2;X-Empty:
             OK    | 200 OK                               | Content-Length: 2;X-Folded: a;  b
             OK    | 200 OK                               | Connection: close
             OK    | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2
+            RESET | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2;no colon here
             """)
     void readsAnswers(Outcome outcome, String status, String headers) throws Exception {
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
