Handle SIGHUP: read where discovery is and go on there

The proxy now reads the address of discovery from its configuration again, opens a watch there from the version it holds and gives the old watch up. A configuration that cannot be read changes nothing. At most one watch is out at a time.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -24,6 +25,7 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -60,6 +62,9 @@
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean stopped;
     private Channel channel;
+    private InetSocketAddress address;
+    /** The watch that is out; one that was given up for another says nothing any more. */
+    private Watch current;
 
     Discovery(EventLoop loop, EventLog log, ProxyConfig config, Listener listener) {
         this.loop = loop;
@@ -67,18 +72,31 @@
         this.config = config;
         this.listener = listener;
         this.onRequest = config.settings().watch();
+        this.address = config.discovery();
         this.index = config.known().index();
         this.whole = index == 0;
     }
 
-    /** Starts a watch, once; one that ends is taken up again unless the module does the asking. */
+    /** Goes on at another address; the watch at the old one is given up. */
+    void moveTo(InetSocketAddress to) {
+        address = to;
+        Channel old = channel;
+        current = null;
+        watch();
+        if (old != null) {
+            old.close();
+        }
+    }
+
+    /** Starts a watch unless one is out; one that ends is taken up again unless the module asks. */
     void watch() {
-        if (stopped) {
+        if (stopped || current != null) {
             return;
         }
         boolean fetch = whole;
         String path = fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index;
         Watch watch = new Watch(fetch);
+        current = watch;
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -89,16 +107,18 @@
                                 new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), watch);
                     }
                 });
-        channel = bootstrap.connect(config.discovery()).addListener(done -> {
+        ChannelFuture connecting = bootstrap.connect(address);
+        channel = connecting.channel();
+        connecting.addListener(done -> {
             if (done.isSuccess()) {
                 DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                         path);
                 get.headers().set(HttpHeaderNames.HOST, "discovery");
-                channel.writeAndFlush(get);
+                connecting.channel().writeAndFlush(get);
             } else {
                 log.line("discovery: " + done.cause().getMessage());
             }
-        }).channel();
+        });
         channel.closeFuture().addListener(closed -> ended(watch));
     }
 
@@ -110,9 +130,10 @@
     }
 
     private void ended(Watch watch) {
-        if (stopped) {
+        if (stopped || watch != current) {
             return;
         }
+        current = null;
         if (watch.fetched) {
             watch();
             return;
@@ -141,6 +162,9 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (this != current) {
+                return;
+            }
             if (message instanceof HttpResponse response) {
                 ok = response.status().equals(HttpResponseStatus.OK);
                 if (!ok) {
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -72,6 +72,14 @@
                 limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known);
     }
 
+    /** The address of discovery that the configuration file names now. */
+    static InetSocketAddress readDiscovery(Map<String, String> env) throws BadConfig {
+        if (file(variable(env, "PROXY_CONFIG")).get("discovery") instanceof String text) {
+            return address("config: discovery", text);
+        }
+        throw new BadConfig("config: discovery is missing or not an address");
+    }
+
     /** The address of a text like 10.0.0.4:5000; names are not looked up, as there is no DNS. */
     static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -101,6 +101,11 @@
         }
     }
 
+    /** Discovery is found at another address from now on. */
+    void discoveryMoved(InetSocketAddress to) {
+        discovery.moveTo(to);
+    }
+
     void stop() {
         discovery.stop();
     }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -64,6 +64,7 @@
             err.println("passhatch: " + bad.getMessage());
             return 2;
         }
+        HangUp.handle(() -> server.reload(env));
         CountDownLatch ended = server.ended;
         // The JVM ends as soon as its hooks have returned, with the status of the signal: so this hook stays
         // until all is answered, and then ends the process itself.
@@ -125,6 +126,19 @@
         });
     }
 
+    /** Reads the configuration again; of what stands there only the address of discovery may change. */
+    void reload(Map<String, String> env) {
+        InetSocketAddress discovery;
+        try {
+            discovery = ProxyConfig.readDiscovery(env);
+        } catch (ProxyConfig.BadConfig bad) {
+            log.line("the configuration stays as it is: " + bad.getMessage());
+            return;
+        }
+        log.line("discovery is at " + discovery + " from now on");
+        loop.execute(() -> proxy.discoveryMoved(discovery));
+    }
+
     /** Waits until it has shut down. */
     boolean awaitEnd(long ms) throws InterruptedException {
         return ended.await(ms, TimeUnit.MILLISECONDS);
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -115,6 +116,16 @@
                 "worth", 1, "dedupWindowUs", 9_000_000, "group", "all");
     }
 
+    /** Writes the configuration anew, with discovery at another address. */
+    void nameDiscovery(InetSocketAddress address) throws IOException {
+        Path file = folder.resolve("config.json");
+        Map<String, Object> config = new HashMap<>(JSON.std.mapFrom(Files.readString(file)));
+        config.put("discovery", "127.0.0.1:" + address.getPort());
+        Path written = folder.resolve("config.new");
+        Files.writeString(written, JSON.std.asString(config));
+        Files.move(written, file, StandardCopyOption.REPLACE_EXISTING);
+    }
+
     /** Starts the proxy and waits until it has the list. */
     Rig start(String... entries) throws Exception {
         lines.add(list(8, true, entries));
--- a/src/test/java/passhatch/proxy/ShutdownTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -20,9 +20,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import passhatch.proxy.Http.Message;
 
-/** SIGTERM, to a process of its own. */
+/** Signals, to a process of its own. */
 @Timeout(60)
-final class ShutdownTest {
+final class SignalTest {
 
     @TempDir
     Path folder;
@@ -37,13 +37,7 @@
             });
             rig.lines.add(Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING")));
             InetSocketAddress address = freeAddress();
-            Map<String, String> env = new HashMap<>(rig.environment());
-            env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
-            String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-            ProcessBuilder builder = new ProcessBuilder(java, "-cp",
-                    System.getProperty("java.class.path"), "passhatch.adapter.Main", "serve");
-            builder.environment().putAll(env);
-            Process process = builder.start();
+            Process process = serve(rig, address);
             try {
                 awaitListening(address);
                 Rig.awaitReady(address);
@@ -78,6 +72,60 @@
         }
     }
 
+    /** After SIGHUP discovery is where the configuration says now; what it had taken is answered. */
+    @Test
+    void movesToAnotherDiscoveryAtAHangUpAndServesOn() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer old = rig.backend((connection, request) -> {
+                release.await();
+                connection.answer("200 OK", "old");
+            });
+            rig.lines.add(Rig.list(8, true, Rig.entry("s", old.address(), "SERVING")));
+            ScriptedServer next = rig.backend((connection, request) -> connection.answer("200 OK", "next"));
+            String list = Rig.list(9, true, Rig.entry("t", next.address(), "SERVING"));
+            ScriptedServer other = rig.backend((connection, request) -> connection.write(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(list.length() + 1) + "\r\n" + list + "\n\r\n"));
+            InetSocketAddress address = freeAddress();
+            Process process = serve(rig, address);
+            try {
+                awaitListening(address);
+                Rig.awaitReady(address);
+                rig.discovery().next();
+                Http held = Http.to(address);
+                held.write(Rig.get("held", ""));
+                old.next();
+                rig.nameDiscovery(other.address());
+                assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start()
+                        .waitFor());
+                assertTrue(other.next().start().contains("watch=1&from=8"));
+                release.countDown();
+                assertEquals("old", held.read().text());
+                String served = "";
+                for (int i = 0; !served.equals("next"); i++) {
+                    try (Http client = Http.to(address)) {
+                        client.write(Rig.get("r" + i, ""));
+                        served = client.read().text();
+                    }
+                }
+                assertTrue(process.isAlive());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static Process serve(Rig rig, InetSocketAddress address) throws IOException {
+        Map<String, String> env = new HashMap<>(rig.environment());
+        env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        ProcessBuilder builder = new ProcessBuilder(java, "-cp",
+                System.getProperty("java.class.path"), "passhatch.adapter.Main", "serve");
+        builder.environment().putAll(env);
+        return builder.start();
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) free.getLocalSocketAddress();
