Serve open connections after SIGTERM until shortly before SIGKILL may come

The log shows the second proxy told to end at 18.5 s and done with its clients at 19.1 s, the first one listening again only at 21.7 s: for almost 3 s no proxy took anything. Leaving early brings no proxy back earlier, as the platform starts it again after the time for SIGKILL.

Open connections are now served until 1.2 s before SIGKILL may come, and all that is taken after SIGTERM is answered 0.3 s before it. Lines in the log say when a proxy listens and ends.

What is left is the time a proxy takes to start.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -53,6 +53,7 @@
     private final Set<Connection> idle = new LinkedHashSet<>();
     private int open;
     private Channel listener;
+    private boolean unready;
     private boolean draining;
     private long nextBeatUs;
     private long heldUpUs;
@@ -94,9 +95,15 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** From now on every answer tells its client to close the connection. */
+    /** From now on callers that ask are told not to begin with this proxy. */
+    void unready() {
+        unready = true;
+    }
+
+    /** Lets all clients go: those with nothing out now, the others with their answer. */
     void drain() {
         draining = true;
+        closeIdle();
     }
 
     /** Takes no more connections; those open are served on. */
@@ -187,7 +194,7 @@
 
         private void take(Turn turn, FullHttpRequest http) throws RequestParser.BadRequest {
             if (http.method().equals(HttpMethod.GET) && http.uri().equals("/ready")) {
-                boolean ready = proxy.ready() && !draining;
+                boolean ready = proxy.ready() && !unready;
                 turn.answer(Answer.of(ready ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE));
                 return;
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -68,6 +68,8 @@
     private boolean deciding;
     private boolean listed;
     private int unanswered;
+    /** What is taken from now on is answered by then. */
+    private long lastAnswerUs = Long.MAX_VALUE;
     private Runnable onIdle = () -> { };
 
     /** Something to tell the module. */
@@ -93,6 +95,15 @@
         return listed;
     }
 
+    /** Has all that is taken from now on answered within this time. */
+    void answerWithin(long us) {
+        lastAnswerUs = clock.nowUs() + us;
+    }
+
+    int unanswered() {
+        return unanswered;
+    }
+
     /** Calls back when no request is unanswered, at once where none is. */
     void whenIdle(Runnable then) {
         onIdle = then;
@@ -149,7 +160,8 @@
     /** Takes a request; false where one with its id is still held. */
     boolean take(ProxyRequest request, Responder responder) {
         long now = clock.nowUs();
-        Exchange e = new Exchange(request, responder, now + request.timeLeftUs() - ANSWER_MARGIN_US);
+        Exchange e = new Exchange(request, responder,
+                Math.min(now + request.timeLeftUs() - ANSWER_MARGIN_US, lastAnswerUs));
         if (exchanges.putIfAbsent(request.id(), e) != null) {
             return false;
         }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -21,11 +21,18 @@
 
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long ACCEPT_ON_MS = 500;
+    /** SIGKILL comes no sooner after SIGTERM than this beyond the longest deadline. */
+    private static final long KILL_SLACK_MS = 700;
+    /** The longest deadline that SIGKILL waits for. */
+    private static final long KILL_DEADLINE_MS = 3_000;
+    /** What is taken after SIGTERM is answered at least this long before SIGKILL may come. */
+    private static final long ANSWER_AHEAD_MS = 300;
     /**
-     * Then requests on open connections are taken for this much longer. One that came much later could still
-     * be unanswered when SIGKILL comes, so idle connections are closed: their clients go elsewhere.
+     * And nothing is taken any more this long before it: the last requests need some time to be served.
+     * Until then open connections are served on, as the proxies that their clients would turn to may
+     * be down as well: in a rolling restart the one before may not be back yet.
      */
-    private static final long READ_ON_MS = 100;
+    private static final long LEAVE_AHEAD_MS = 1_200;
     private static final long SWEEP_MS = 250;
     /** What is left over after the longest deadline before the process ends whatever happens. */
     private static final long END_SLACK_MS = 500;
@@ -88,6 +95,7 @@
         server.loop.submit(() -> server.build(config, module)).sync();
         try {
             server.address = server.clients.listen(config.listen());
+            log.line("listening on " + server.address);
         } catch (IOException e) {
             server.end();
             throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + e.getMessage());
@@ -110,18 +118,21 @@
     }
 
     /**
-     * Ends in an orderly way: connections are accepted for a little longer, and everything
-     * taken is answered.
+     * Ends in an orderly way: connections are accepted for a little longer, those open are served until
+     * shortly before SIGKILL may come, and everything taken is answered.
      */
     void shutDown() {
         loop.execute(() -> {
             log.line("shutting down");
-            clients.drain();
+            long killMs = Math.min(longestDeadlineMs, KILL_DEADLINE_MS) + KILL_SLACK_MS;
+            long leaveMs = Math.max(ACCEPT_ON_MS, killMs - LEAVE_AHEAD_MS);
+            clients.unready();
+            proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(killMs - ANSWER_AHEAD_MS));
             loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
-                clients.closeIdle();
+                clients.drain();
                 proxy.whenIdle(this::end);
-            }, ACCEPT_ON_MS + READ_ON_MS, TimeUnit.MILLISECONDS);
+            }, leaveMs, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, longestDeadlineMs + END_SLACK_MS, TimeUnit.MILLISECONDS);
         });
     }
@@ -146,10 +157,13 @@
 
     /** Ends at once, whatever is out. */
     void stopNow() {
-        loop.execute(this::end);
+        if (!loop.isShuttingDown()) {
+            loop.execute(this::end);
+        }
     }
 
     private void end() {
+        log.line("ending with " + proxy.unanswered() + " requests unanswered");
         proxy.stop();
         clients.closeIdle();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -72,6 +72,28 @@
         }
     }
 
+    /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
+    @Test
+    void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK",
+                    request.header("X-Deadline")));
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            Http open = rig.client();
+            open.write(Rig.get("before", ""));
+            assertEquals(200, open.read().status());
+            rig.proxy().shutDown();
+            awaitNotListening(rig.proxy().address());
+            open.write(Rig.get("after", ""));
+            Message answer = open.read();
+            assertNull(answer.header("Connection"), "let go though SIGKILL is far");
+            long leftUs = Long.parseLong(answer.text().replace("u", ""));
+            assertTrue(leftUs < 3_700_000, "it would not be answered before SIGKILL: " + leftUs);
+            assertNull(open.read(), "let go in the end");
+            assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+        }
+    }
+
     /** After SIGHUP discovery is where the configuration says now; what it had taken is answered. */
     @Test
     void movesToAnotherDiscoveryAtAHangUpAndServesOn() throws Exception {
