Count only waiting against a call's time to spare, with a calm time that is one

A call was held where it was expected to take more than 0.36 of its aim in all. Now what it takes while servers are calm is its own, and only the rest is waiting.

It is learnt from 20 answers on.

--- a/src/main/java/passhatch/CallTimes.java
+++ b/src/main/java/passhatch/CallTimes.java
@@ -19,6 +19,9 @@
     /** Part by which the calm time grows at each answer: what was calm thousands of calls ago may not be. */
     private static final double CALM_GROWTH = 0.0003;
 
+    /** Answers before a mean is trusted to be one: the first to come back are the quickest. */
+    private static final int ENOUGH = 20;
+
     /** Mean time that served calls of each class took, by position; 0 while there was none. */
     private final double[] kindUs;
     private double callUs;
@@ -27,6 +30,7 @@
     private double ahead;
     private double meanUs;
     private double calmUs = Double.MAX_VALUE;
+    private int answers;
 
     CallTimes(int classes) {
         kindUs = new double[classes];
@@ -55,8 +59,11 @@
         double usualUs = elapsedUs / length(kind);
         tookUs += usualUs - tookUs * MEAN_WEIGHT / 2;
         ahead += attempt.ahead - ahead * MEAN_WEIGHT / 2;
-        meanUs += (usualUs - meanUs) * (meanUs == 0 ? 1 : MEAN_WEIGHT);
-        calmUs = Math.min(calmUs * (1 + CALM_GROWTH), meanUs);
+        answers++;
+        meanUs += (usualUs - meanUs) * Math.max(1.0 / answers, MEAN_WEIGHT);
+        if (answers >= ENOUGH) {
+            calmUs = Math.min(calmUs * (1 + CALM_GROWTH), meanUs);
+        }
         double each = usualUs / attempt.ahead;
         quickUs = quickUs == 0 ? each : quickUs * (1 + QUICK_STEP * (each < quickUs ? QUICK - 1 : QUICK));
         // A few servers that take seconds must not pass for usual: the mean is capped.
@@ -86,8 +93,13 @@
         return meanUs;
     }
 
-    /** The least that the mean was of late: while servers were calm. */
+    /** The least that the mean was of late, while servers were calm; the greatest value while unknown. */
     double calmUs() {
         return calmUs;
     }
+
+    /** What a call of this class takes while servers are calm; 0 while unknown. */
+    double ownUs(int kind) {
+        return answers < ENOUGH ? 0 : calmUs * length(kind);
+    }
 }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -44,7 +44,7 @@
     private static final double BUSY_HOLDS = 0.25;
     /** Part of a call's work beyond the usual that counts: hints err, and not all time is work. */
     private static final double HOPE = 0.5;
-    /** Part of the time left that a call may be expected to take: the mean is far from the worst. */
+    /** Part of its time to spare that a call may be expected to wait: the mean is far from the worst. */
     private static final double CROWD = 0.36;
     /** A call worth more may be expected to take up to so many times that part: the least is shed first. */
     private static final double MOST_FAVOUR = 2;
@@ -518,7 +518,10 @@
         // only own calls tell, others may crowd one that looks idle, so its last calls count for a while.
         boolean idle = assumedLoad(nowUs, s) == 0 && (told(nowUs) || !seenLately(nowUs, s));
         double expectedUs = expectedUs(nowUs, call, s);
-        return idle || expectedUs <= timeUs * CROWD && !crowded(nowUs, call, s, expectedUs);
+        // What it takes without a crowd is no waiting: in a chain it may well be a third of the aim.
+        double ownUs = Math.min(times.ownUs(call.request.requestClass()), expectedUs);
+        return idle || expectedUs - ownUs <= (timeUs - ownUs) * CROWD
+                && !crowded(nowUs, call, s, expectedUs);
     }
 
     /**
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1220,6 +1220,23 @@
             assertTrue(sentAtOnce(setup, 5) > usual);
         }
 
+        @Test
+        void aCallsOwnTimeIsNotTakenForWaiting() {
+            // Calls that take a third of their aim without any crowd were held at servers with one call out.
+            Proxy p = new Proxy(setup()).with("a");
+            for (int i = 0; i < 30; i++) {
+                String r = p.request(Proxy.SAFE);
+                p.pass(120);
+                p.logic.outcome(p.now, r, 0, "a", Outcome.OK, 120 * MS, true, null);
+            }
+            p.request(Proxy.SAFE);
+            assertEquals("a", p.at(p.request(Proxy.SAFE)));
+            for (int i = 0; i < 10; i++) {
+                p.request(Proxy.SAFE);
+            }
+            assertTrue(p.count("send") < 30 + 6, "a crowd is held back all the same");
+        }
+
         @Test
         void longCallsDoNotMakeTheirServerLookTooSlowForShortOnes() {
             // Settlements took ten times as long as look-ups, and once these were held back only settlements
