Let a peer go that sends no whole request in time, a wrong one or too much

inc8347: from 7.9 s on some 160 connections were open, all that the proxy allows, most of peers that sent nothing or half a request, and each new one pushed the longest idle client out (1,079 times at one proxy). One peer sent 600 requests for an unknown path at once; each was read, logged and answered.

A peer now has 2.5 s from connecting, or from its first byte, to send a whole request; after one that is malformed it gets its answer and nothing more is taken from it; a body that is too large is turned down at its announcement and not read.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -15,14 +16,17 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -38,6 +42,8 @@
     private static final int BACKLOG = 1024;
     /** Requests of one connection that may be unanswered before no more are read from it. */
     private static final int MOST_PIPELINED = 4;
+    /** A peer that connects, or begins a request, and has not sent all of one by then is let go. */
+    private static final long REQUEST_WITHIN_MS = 2_500;
     /** How often the loop checks whether it was held up. */
     private static final long BEAT_US = 10_000;
     /** Lateness of a beat that says nothing: timers fire up to a millisecond or two late. */
@@ -84,8 +90,9 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(MOST_BODY), new Connection(channel));
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection.new Arrivals(), new HttpServerCodec(),
+                                new BodyLimit(), connection);
                     }
                 }).bind(address).await();
         if (!bound.isSuccess()) {
@@ -136,10 +143,33 @@
         return Math.max(heldUpUs, lateUs());
     }
 
+    /** Turns a body that is too large down at its announcement, and does not stay to read it. */
+    private static final class BodyLimit extends HttpObjectAggregator {
+        private static final FullHttpResponse TOO_LARGE = tooLarge();
+
+        BodyLimit() {
+            super(MOST_BODY);
+        }
+
+        private static FullHttpResponse tooLarge() {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Unpooled.EMPTY_BUFFER);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            return response;
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            ctx.channel().config().setAutoRead(false);
+            ctx.writeAndFlush(TOO_LARGE.retainedDuplicate()).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     /** A request on a connection, until its answer is written. */
     private static final class Turn implements ProxyLoop.Responder {
         private final Connection connection;
-        private final boolean keepAlive;
+        boolean keepAlive;
         String id;
         Answer answer;
 
@@ -159,13 +189,44 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Channel channel;
         private final ArrayDeque<Turn> turns = new ArrayDeque<>();
+        /** Ends the connection unless a whole request comes first; null while none is awaited. */
+        private Future<?> patience;
+        /** It sent what is no request: it is told so, and nothing more is taken from it. */
+        private boolean leaving;
 
         Connection(Channel channel) {
             this.channel = channel;
         }
 
+        /** Sees the bytes before they are a request. */
+        private final class Arrivals extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (turns.isEmpty()) {
+                    awaitRequest();
+                }
+                ctx.fireChannelRead(bytes);
+            }
+        }
+
+        private void awaitRequest() {
+            if (patience == null) {
+                patience = loop.schedule(() -> {
+                    channel.close();
+                }, REQUEST_WITHIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void endPatience() {
+            if (patience != null) {
+                patience.cancel(false);
+                patience = null;
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            awaitRequest();
             open++;
             idle.add(this);
             if (open > mostOpen && !idle.isEmpty()) {
@@ -178,6 +239,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
             idle.remove(this);
+            endPatience();
+            if (leaving) {
+                return;
+            }
             // Where a request ends is not known any more once one was malformed.
             Turn turn = new Turn(this, HttpUtil.isKeepAlive(http) && http.decoderResult().isSuccess());
             turns.add(turn);
@@ -188,6 +253,8 @@
                 take(turn, http);
             } catch (RequestParser.BadRequest bad) {
                 log.line("request refused with " + bad.status() + ": " + bad.getMessage());
+                leaving = true;
+                turn.keepAlive = false;
                 turn.answer(Answer.of(bad.status()));
             }
         }
@@ -262,6 +329,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             open--;
+            endPatience();
             gone();
             turns.clear();
         }
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import passhatch.Balancer;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.Http.Message;
@@ -138,6 +139,57 @@
         assertTrue(backend.received.isEmpty());
     }
 
+    /** Such peers filled the table of connections, and clients that were idle for a moment lost theirs. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /board", "POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n"
+            + "Content-Length: 9\r\n\r\nhalf"})
+    void aPeerThatSendsNoWholeRequestIsLetGoWithinThreeSeconds(String part) throws Exception {
+        rig.start();
+        long start = System.nanoTime();
+        Http peer = rig.client();
+        peer.write(part);
+        assertNull(peer.read());
+        assertTrue(System.nanoTime() - start < 3_000_000_000L);
+    }
+
+    @Test
+    void aClientThatIsIdleOrWaitsForItsAnswerIsNotLetGo() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            if (request.header("X-Request-Id").equals("long")) {
+                Thread.sleep(3_000);
+            }
+            connection.answer("200 OK", "late");
+        });
+        rig.start(up("s", backend));
+        Http client = rig.client();
+        client.write(Rig.get("long", ""));
+        assertEquals("late", client.read().text());
+        client.write(Rig.get("next", ""));
+        assertEquals("late", client.read().text());
+    }
+
+    /** One peer sent 600 at a time: answering each cost the time of requests that counted. */
+    @Test
+    void nothingMoreIsTakenFromAPeerThatSentNoRequest() throws Exception {
+        rig.start();
+        Http peer = rig.client();
+        peer.write(("GET /nothing HTTP/1.1\r\nHost: p\r\n\r\n").repeat(50));
+        Message answer = peer.read();
+        assertEquals(404, answer.status());
+        assertEquals("close", answer.header("Connection"));
+        assertNull(peer.read());
+    }
+
+    /** Its body is neither waited for nor read. */
+    @Test
+    void aBodyThatIsTooLargeIsTurnedDownAtItsAnnouncement() throws Exception {
+        rig.start();
+        Http peer = rig.client();
+        peer.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\nContent-Length: 60000000\r\n\r\n");
+        assertEquals(413, peer.read().status());
+        assertNull(peer.read());
+    }
+
     @Test
     void anIdStillHeldIsNotTakenTwice() throws Exception {
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -46,6 +46,8 @@
                 backend.next();
                 Http kept = Http.to(address);
                 Http unused = Http.to(address);
+                unused.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+                assertEquals(200, unused.read().status());
                 process.toHandle().destroy();
                 BufferedReader log = process.errorReader(StandardCharsets.UTF_8);
                 for (String line = log.readLine(); !line.contains("shutting down"); line = log.readLine()) {
