--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -57,6 +57,8 @@
     private final int mostOpen;
     /** Connections with no request out, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Those of them that have never sent a request, the oldest first. */
+    private final Set<Connection> strangers = new LinkedHashSet<>();
     private int open;
     private Channel listener;
     private boolean unready;
@@ -123,6 +125,14 @@
         List.copyOf(idle).forEach(c -> c.channel.close());
     }
 
+    /** A client that was served before comes after those that may never send anything. */
+    private void letOneGo() {
+        boolean strange = strangers.size() > 1;
+        log.line(open + " clients are connected: the " + (strange ? "oldest that has sent nothing"
+                : "one idle longest") + " is let go");
+        (strange ? strangers : idle).iterator().next().channel.close();
+    }
+
     private void beat() {
         heldUpUs = lateUs();
         nextBeatUs = clock.nowUs() + BEAT_US;
@@ -229,9 +239,9 @@
             awaitRequest();
             open++;
             idle.add(this);
-            if (open > mostOpen && !idle.isEmpty()) {
-                log.line(open + " clients are connected: the one idle longest is let go");
-                idle.iterator().next().channel.close();
+            strangers.add(this);
+            if (open > mostOpen) {
+                letOneGo();
             }
             ctx.fireChannelActive();
         }
@@ -239,6 +249,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest http) {
             idle.remove(this);
+            strangers.remove(this);
             endPatience();
             if (leaving) {
                 return;
@@ -305,6 +316,7 @@
 
         private void gone() {
             idle.remove(this);
+            strangers.remove(this);
             for (Turn turn : turns) {
                 if (turn.answer == null && turn.id != null) {
                     proxy.clientGone(turn.id);
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -152,6 +152,21 @@
         assertTrue(System.nanoTime() - start < 3_000_000_000L);
     }
 
+    @Test
+    void peersThatSendNothingDoNotPushAClientOut() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.start(up("s", backend));
+        Http client = rig.client();
+        client.write(Rig.get("a", ""));
+        assertEquals("x", client.read().text());
+        for (int i = 0; i < 100; i++) {
+            rig.client();
+        }
+        rig.awaitLog("clients are connected");
+        client.write(Rig.get("b", ""));
+        assertEquals("x", client.read().text());
+    }
+
     @Test
     void aClientThatIsIdleOrWaitsForItsAnswerIsNotLetGo() throws Exception {
         ScriptedServer backend = rig.backend((connection, request) -> {
