--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -46,6 +46,8 @@
     private static final long REQUEST_WITHIN_MS = 2_500;
     /** How often the loop checks whether it was held up. */
     private static final long BEAT_US = 10_000;
+    /** Time between two lines on clients let go: there may be hundreds a second. */
+    private static final long SAY_AGAIN_US = 10_000_000;
     /** Lateness of a beat that says nothing: timers fire up to a millisecond or two late. */
     private static final long BEAT_SLACK_US = 2_000;
 
@@ -60,6 +62,8 @@
     /** Those of them that have never sent a request, the oldest first. */
     private final Set<Connection> strangers = new LinkedHashSet<>();
     private int open;
+    private int letGo;
+    private long sayAgainUs = Long.MIN_VALUE;
     private Channel listener;
     private boolean unready;
     private boolean draining;
@@ -127,9 +131,12 @@
 
     /** A client that was served before comes after those that may never send anything. */
     private void letOneGo() {
+        letGo++;
+        if (clock.nowUs() >= sayAgainUs) {
+            sayAgainUs = clock.nowUs() + SAY_AGAIN_US;
+            log.line(open + " clients are connected, too many: " + letGo + " let go so far");
+        }
         boolean strange = strangers.size() > 1;
-        log.line(open + " clients are connected: the " + (strange ? "oldest that has sent nothing"
-                : "one idle longest") + " is let go");
         (strange ? strangers : idle).iterator().next().channel.close();
     }
 
