Answer check and vars at a second address; let a new process take over

The first try at the listener failed to start: its class has no public constructor, so it is made by a factory.

--- /dev/null
+++ b/deploy/serve.sh
@@ -0,0 +1,27 @@
+# Starts the proxy with limits on memory that derive from the configured one. Only the shell's own commands are
+# used: where other programs may not be started, this still ends in the one process.
+memory_mb=144
+while IFS= read -r line || [ -n "$line" ]; do
+    found=${line#*\"memory_mb\":}
+    if [ "$found" != "$line" ]; then
+        found=${found# }
+        memory_mb=${found%%[!0-9]*}
+    fi
+done < "$PROXY_CONFIG"
+
+# Where operators can ask, a second process may run beside the first at a change of version. Where there is not
+# room for two JVMs, none is started.
+share=$memory_mb
+if [ "$memory_mb" -ge 150 ] && [ -n "$PROXY_CONTROL" ]; then
+    share=$((memory_mb / 2))
+fi
+
+# The rest, for the JVM's own code, classes and threads, stays the same.
+heap=$((share / 3))
+[ "$heap" -lt 24 ] && heap=24
+[ "$heap" -gt 48 ] && heap=48
+direct=$((heap / 3))
+
+exec java -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xshare:auto -Xms24m -Xmx${heap}m \
+    -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -XX:MaxDirectMemorySize=${direct}m \
+    -jar target/passhatch.jar serve
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -277,4 +277,7 @@
 
     /** A time asked for by {@link Actions#wakeAt} has come. */
     void timer(long nowUs);
+
+    /** How many servers of the list held are avoided now: they drain, rest, or come only after all others. */
+    int hostsDown(long nowUs);
 }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -102,6 +104,8 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<String, Backend> byId = new HashMap<>();
+    /** Servers of the list that drain. */
+    private final Set<String> draining = new HashSet<>();
     private final List<Backend> servers = new ArrayList<>();
     private final Map<String, Call> calls = new HashMap<>();
     /** Calls for which no server may be used now, oldest first. */
@@ -173,6 +177,7 @@
             for (Backend s : servers) {
                 s.up = false;
             }
+            draining.clear();
         }
         for (Server line : list) {
             learn(nowUs, line);
@@ -194,13 +199,15 @@
 
     private void learn(long nowUs, Server line) {
         Backend s = byId.get(line.id());
+        draining.remove(line.id());
         if (line.status() != ServerStatus.UP) {
-            boolean draining = line.status() == ServerStatus.DRAINING;
+            boolean drains = line.status() == ServerStatus.DRAINING;
             if (s != null) {
                 s.up = false;
-                s.draining = draining;
+                s.draining = drains;
             }
-            if (draining) {
+            if (drains) {
+                draining.add(line.id());
                 closeIdle(line.id());
             }
             return;
@@ -897,6 +904,15 @@
         advance(nowUs);
     }
 
+    @Override
+    public int hostsDown(long nowUs) {
+        int down = draining.size();
+        for (Backend s : servers) {
+            down += s.restUntilUs > nowUs || s.demotedUntilUs > nowUs ? 1 : 0;
+        }
+        return down;
+    }
+
     private void wake(long atUs) {
         if (atUs < wakeAtUs) {
             wakeAtUs = atUs;
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -56,8 +56,12 @@
         }
     }
 
-    /** Hears how a call ended, once. */
+    /** Hears of a call. */
     interface Listener {
+        /** The message was written whole. */
+        default void written() { }
+
+        /** It has ended, once. */
         void done(Result result);
     }
 
@@ -81,7 +85,7 @@
     private final Clock clock;
     private final EventLog log;
     private final long idleUs;
-    private final int mostOpen;
+    private int mostOpen;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
     private final Set<Connection> open = new HashSet<>();
@@ -105,6 +109,11 @@
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
 
+    /** How many connections it may hold from now on. */
+    void limit(int most) {
+        mostOpen = most;
+    }
+
     /** Closes connections that backends might soon close themselves; to be called now and then. */
     void closeStale() {
         long before = clock.nowUs() - idleUs;
@@ -256,6 +265,7 @@
                 channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
                     if (done.isSuccess()) {
                         toWrite.written = true;
+                        toWrite.listener.written();
                     } else {
                         channel.close();
                     }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -13,7 +13,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -29,6 +29,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -56,7 +57,7 @@
     private final EventLog log;
     private final RequestParser parser;
     private final ProxyLoop proxy;
-    private final int mostOpen;
+    private int mostOpen;
     /** Connections with no request out, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     /** Those of them that have never sent a request, the oldest first. */
@@ -89,8 +90,10 @@
 
     /** Starts to listen and waits until it does. */
     InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(Listener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                // At a change of version two processes listen here.
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -108,15 +111,24 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** How many connections it may hold from now on; those beyond go as new ones come. */
+    void limit(int most) {
+        mostOpen = most;
+    }
+
+    /** Whether it takes connections and has not been told otherwise. */
+    boolean ready() {
+        return listener != null && listener.isActive() && !unready;
+    }
+
     /** From now on callers that ask are told not to begin with this proxy. */
     void unready() {
         unready = true;
     }
 
-    /** Lets all clients go: those with nothing out now, the others with their answer. */
-    void drain() {
+    /** Lets each client go with its next answer. */
+    void sendAway() {
         draining = true;
-        closeIdle();
     }
 
     /** Takes no more connections; those open are served on. */
@@ -279,8 +291,7 @@
 
         private void take(Turn turn, FullHttpRequest http) throws RequestParser.BadRequest {
             if (http.method().equals(HttpMethod.GET) && http.uri().equals("/ready")) {
-                boolean ready = proxy.ready() && !unready;
-                turn.answer(Answer.of(ready ? HttpResponseStatus.OK
+                turn.answer(Answer.of(proxy.ready() && ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE));
                 return;
             }
--- /dev/null
+++ b/src/main/java/passhatch/proxy/Control.java
@@ -0,0 +1,128 @@
+package passhatch.proxy;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.string.StringDecoder;
+import io.netty.handler.codec.string.StringEncoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** The operators' side: one line to a connection, one answer, and the connection is closed. */
+final class Control {
+
+    /** Callers at a time; for one more, the one that has been silent for longest is let go. */
+    static final int MOST_CALLERS = 16;
+    private static final int BACKLOG = 128;
+    private static final int LONGEST_LINE = 256;
+    /** A caller that has sent no whole line by then is let go. */
+    private static final long LINE_WITHIN_MS = 5_000;
+
+    private final EventLoop loop;
+    private final EventLog log;
+    private final BooleanSupplier ready;
+    private final Supplier<String> figures;
+    private final Set<Channel> callers = new LinkedHashSet<>();
+    private Channel listener;
+
+    /**
+     * Not listening yet.
+     *
+     * @param ready whether this process is ready to serve
+     * @param figures the figures as they are now, a line each
+     */
+    Control(EventLoop loop, EventLog log, BooleanSupplier ready, Supplier<String> figures) {
+        this.loop = loop;
+        this.log = log;
+        this.ready = ready;
+        this.figures = figures;
+    }
+
+    /** Starts to listen; a proxy that cannot be asked still serves, so the log says why and that is all. */
+    void listen(InetSocketAddress address) throws InterruptedException {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true),
+                                new StringDecoder(StandardCharsets.US_ASCII),
+                                new StringEncoder(StandardCharsets.US_ASCII), new Caller());
+                    }
+                }).bind(address).await();
+        if (bound.isSuccess()) {
+            listener = bound.channel();
+        } else {
+            log.line("no control address: " + address + ": " + bound.cause().getMessage());
+        }
+    }
+
+    /** Where it listens, or null. */
+    InetSocketAddress address() {
+        return listener == null ? null : (InetSocketAddress) listener.localAddress();
+    }
+
+    private String answer(String call) {
+        return switch (call.strip()) {
+            case "check" -> ready.getAsBoolean() ? "done\n" : "error not ready to serve\n";
+            case "vars" -> figures.get() + "end\n";
+            default -> "error no such call\n";
+        };
+    }
+
+    /** One caller. */
+    private final class Caller extends SimpleChannelInboundHandler<String> {
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            callers.add(ctx.channel());
+            if (callers.size() > MOST_CALLERS) {
+                callers.iterator().next().close();
+            }
+            var patience = loop.schedule(() -> {
+                ctx.close();
+            }, LINE_WITHIN_MS, TimeUnit.MILLISECONDS);
+            ctx.channel().closeFuture().addListener(closed -> {
+                patience.cancel(false);
+                callers.remove(ctx.channel());
+            });
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String call) {
+            if (callers.remove(ctx.channel())) {
+                end(ctx, answer(call));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof TooLongFrameException && callers.remove(ctx.channel())) {
+                end(ctx, "error the line is too long\n");
+            } else {
+                ctx.close();
+            }
+        }
+
+        /** Whatever else the caller has sent is not read. */
+        private void end(ChannelHandlerContext ctx, String answer) {
+            ctx.channel().config().setAutoRead(false);
+            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/proxy/Listener.java
@@ -0,0 +1,26 @@
+package passhatch.proxy;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A listening socket that takes all connections that wait at it before it closes: the system would reset
+ * them, though another process listens at the same address.
+ */
+final class Listener extends NioServerSocketChannel {
+
+    @Override
+    protected void doClose() throws Exception {
+        try {
+            List<Object> accepted = new ArrayList<>(1);
+            while (doReadMessages(accepted) > 0) {
+                // One by one, so that for each one too many another can be let go first.
+                accepted.forEach(pipeline()::fireChannelRead);
+                accepted.clear();
+            }
+        } finally {
+            super.doClose();
+        }
+    }
+}
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -22,12 +22,15 @@
  * @param zones names of the zones, by position
  * @param models names of the machine kinds, by position
  * @param connectTimeoutUs a connection that takes longer counts as not to be had
- * @param sockets file descriptors this process may hold
+ * @param sockets file descriptors that this proxy's processes may hold together
  * @param known the list as this proxy last had it
+ * @param control where operators ask, or null
+ * @param folder of this proxy's processes, or null
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> models, long connectTimeoutUs, int sockets, EndpointList known) {
+        List<String> models, long connectTimeoutUs, int sockets, EndpointList known,
+        InetSocketAddress control, Path folder) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -69,7 +72,20 @@
         return new ProxyConfig(name, listen, discovery, seed(file.get("seed")), settings,
                 names(params, "categories"), names(params, "tenants"), zones, models,
                 ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
-                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known);
+                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known,
+                control(env.get("PROXY_CONTROL"), file.get("control")), folder(env.get("TMPDIR")));
+    }
+
+    /** Without an address nothing listens for operators. */
+    private static InetSocketAddress control(String variable, Object configured) throws BadConfig {
+        if (variable != null && !variable.isBlank()) {
+            return address("PROXY_CONTROL", variable);
+        }
+        return configured == null ? null : address("config: control", String.valueOf(configured));
+    }
+
+    private static Path folder(String name) {
+        return name == null || name.isBlank() ? null : Path.of(name);
     }
 
     /** The address of discovery that the configuration file names now. */
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -52,13 +52,18 @@
         void answer(Answer answer);
     }
 
-    /** What is known of a backend's address and whether it takes new requests. */
-    private record Backend(InetSocketAddress address, boolean up) { }
+    /** What is known of a backend's address and what the list says of it. */
+    private record Backend(InetSocketAddress address, ServerStatus status) {
+        boolean listed() {
+            return status != ServerStatus.GONE;
+        }
+    }
 
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
     private final BackendPool pool;
+    private final Figures figures;
     private final Discovery discovery;
     private final Balancer balancer;
     private final int maxAttempts;
@@ -77,6 +82,7 @@
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
             ProxyServer.Module module) {
+        this.figures = new Figures(config.classes());
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -104,6 +110,12 @@
         return unanswered;
     }
 
+    /** What operators are told, a line each. */
+    String figures() {
+        return figures.text(unanswered, (int) backends.values().stream().filter(Backend::listed).count(),
+                balancer.hostsDown(clock.nowUs()));
+    }
+
     /** Calls back when no request is unanswered, at once where none is. */
     void whenIdle(Runnable then) {
         onIdle = then;
@@ -146,11 +158,10 @@
         if (list.whole()) {
             Set<String> gone = new HashSet<>(backends.keySet());
             list.endpoints().forEach(e -> gone.remove(e.server().id()));
-            gone.forEach(name -> backends.computeIfPresent(name, (n, b) -> new Backend(b.address(), false)));
+            gone.forEach(name -> backends.computeIfPresent(name, (n, b) -> new Backend(b.address(), ServerStatus.GONE)));
         }
         for (EndpointList.Endpoint e : list.endpoints()) {
-            boolean up = e.server().status() == ServerStatus.UP;
-            Backend before = backends.put(e.server().id(), new Backend(e.address(), up));
+            Backend before = backends.put(e.server().id(), new Backend(e.address(), e.server().status()));
             if (before != null && !before.address().equals(e.address())) {
                 pool.closeIdle(before.address());
             }
@@ -180,7 +191,7 @@
     void clientGone(String id) {
         Exchange e = exchanges.get(id);
         if (e != null && !e.answered) {
-            end(e);
+            end(e, null);
             tell(e, () -> balancer.clientGone(clock.nowUs(), id));
             forget(e);
         }
@@ -257,7 +268,17 @@
         long untilUs = now + waitUs;
         attempt.handle = pool.send(backend.address(), new Outgoing(() -> message(e.request, untilUs),
                 () -> !e.answered && isUp(server), waitUs, Outcome.TIMEOUT),
-                result -> attemptEnded(e, attempt, result));
+                new BackendPool.Listener() {
+                    @Override
+                    public void written() {
+                        figures.backendCall();
+                    }
+
+                    @Override
+                    public void done(Result result) {
+                        attemptEnded(e, attempt, result);
+                    }
+                });
     }
 
     /**
@@ -265,7 +286,7 @@
      * gone, in the meantime is sent nothing.
      */
     private boolean isUp(String server) {
-        return backends.get(server).up();
+        return backends.get(server).status() == ServerStatus.UP;
     }
 
     private FullHttpRequest message(ProxyRequest request, long untilUs) {
@@ -362,12 +383,16 @@
 
     /** Gives the one final answer. */
     private void answer(Exchange e, Answer answer) {
-        end(e);
+        end(e, answer.ending());
         e.responder.answer(answer);
     }
 
-    private void end(Exchange e) {
+    /** The one place where a request ends; with null where its client has left. */
+    private void end(Exchange e, Figures.Ending how) {
         e.answered = true;
+        if (how != null) {
+            figures.ended(e.request.requestClass(), how);
+        }
         e.backstop.cancel(false);
         unanswered--;
         if (unanswered == 0) {
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -36,8 +36,10 @@
     private static final long SWEEP_MS = 250;
     /** What is left over after the longest deadline before the process ends whatever happens. */
     private static final long END_SLACK_MS = 500;
-    /** Descriptors for the JVM's own files, the selector, the listener and discovery. */
-    private static final int OWN_DESCRIPTORS = 64;
+    /** Descriptors for the JVM's own files, the selector, the listeners, discovery and the operators' calls. */
+    private static final int OWN_DESCRIPTORS = 32 + Control.MOST_CALLERS;
+    /** Part of the descriptors for connections to backends: requests take a third at most, and some idle. */
+    private static final double BACKEND_PART = 0.375;
 
     /** Makes the decision module. */
     interface Module {
@@ -49,12 +51,18 @@
     private final EventLog log;
     private final long longestDeadlineMs;
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final int sockets;
     private ProxyLoop proxy;
     private ClientServer clients;
+    private BackendPool pool;
+    private Control control;
+    /** Null where the platform keeps no folder for this proxy's processes. */
+    private Succession succession;
     private InetSocketAddress address;
 
     private ProxyServer(ProxyConfig config, EventLog log) {
         this.log = log;
+        this.sockets = config.sockets();
         this.group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("proxy"),
                 NioIoHandler.newFactory());
         this.loop = group.next();
@@ -96,6 +104,9 @@
         try {
             server.address = server.clients.listen(config.listen());
             log.line("listening on " + server.address);
+            if (config.control() != null) {
+                server.control.listen(config.control());
+            }
         } catch (IOException e) {
             server.end();
             throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + e.getMessage());
@@ -105,32 +116,62 @@
 
     private void build(ProxyConfig config, Module module) {
         Clock clock = new Clock();
-        int forOthers = config.sockets() - OWN_DESCRIPTORS;
-        BackendPool pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), forOthers / 2);
-        loop.scheduleAtFixedRate(pool::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        if (config.control() != null && config.folder() != null) {
+            succession = new Succession(config.folder(), log);
+        }
+        pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
+                config.settings().limits().keepaliveUs(), 0);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
-        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, forOthers / 2);
+        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, 0);
+        control = new Control(loop, log, () -> proxy.ready() && clients.ready(), proxy::figures);
+        shareDescriptors();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void sweep() {
+        pool.closeStale();
+        shareDescriptors();
+    }
+
+    /** The limit holds for all processes of this proxy together, and at a change of version there are two. */
+    private void shareDescriptors() {
+        int all = succession != null && succession.twoRun() ? sockets / 2 : sockets;
+        int backends = (int) (all * BACKEND_PART);
+        pool.limit(backends);
+        clients.limit(all - OWN_DESCRIPTORS - backends);
     }
 
     InetSocketAddress address() {
         return address;
     }
 
+    /** Where operators ask; null where they cannot. */
+    InetSocketAddress controlAddress() {
+        return control.address();
+    }
+
     /**
-     * Ends in an orderly way: connections are accepted for a little longer, those open are served until
-     * shortly before SIGKILL may come, and everything taken is answered.
+     * Ends in an orderly way, and everything taken is answered. Where a newer process serves, this one takes
+     * what waits at its listener and sends each client away with its answer. Else connections are accepted
+     * for a little longer, and those open are served until shortly before SIGKILL may come.
      */
     void shutDown() {
         loop.execute(() -> {
-            log.line("shutting down");
+            boolean succeeded = succession != null && succession.succeeded();
+            log.line("shutting down" + (succeeded ? ", a newer process serves" : ""));
             long killMs = Math.min(longestDeadlineMs, KILL_DEADLINE_MS) + KILL_SLACK_MS;
             long leaveMs = Math.max(ACCEPT_ON_MS, killMs - LEAVE_AHEAD_MS);
             clients.unready();
             proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(killMs - ANSWER_AHEAD_MS));
-            loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+            if (succeeded) {
+                clients.stopListening();
+                clients.sendAway();
+            } else {
+                loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+            }
             loop.schedule(() -> {
-                clients.drain();
+                clients.sendAway();
+                clients.closeIdle();
                 proxy.whenIdle(this::end);
             }, leaveMs, TimeUnit.MILLISECONDS);
             loop.schedule(this::end, longestDeadlineMs + END_SLACK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -439,6 +439,21 @@
     @Nested
     class Servers {
 
+        @Test
+        void tellsHowManyOfTheListItAvoids() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            assertEquals(0, p.logic.hostsDown(p.now));
+            p.change("a", 0, ServerStatus.DRAINING);
+            p.change("a", 0, ServerStatus.DRAINING);
+            assertEquals(1, p.logic.hostsDown(p.now));
+            String r = p.request(Proxy.SAFE);
+            p.end(r, Outcome.CONNECT_FAILED);
+            assertEquals(2, p.logic.hostsDown(p.now), "one drains, one failed");
+            p.pass(60_000);
+            p.change("a", 0, ServerStatus.GONE);
+            assertEquals(0, p.logic.hostsDown(p.now));
+        }
+
         @Test
         void sendsNothingToAServerThatDrainsIsGoneOrIsMissing() {
             Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ControlTest.java
@@ -0,0 +1,170 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What operators ask at the second address, and what they are told. */
+@Timeout(60)
+final class ControlTest {
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder).control();
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    @Test
+    void isReadyOnceTheListIsInAndNoLongerAfterTheOrderToEnd() throws Exception {
+        ProxyServer proxy = ProxyServer.start(ProxyConfig.read(rig.environment()), new EventLog(System.err),
+                passhatch.Logic::new);
+        try {
+            assertTrue(Rig.ask(proxy.controlAddress(), "check\n").startsWith("error"));
+            rig.lines.add(Rig.list(8, true));
+            Rig.awaitReady(proxy.address());
+            assertEquals("done\n", Rig.ask(proxy.controlAddress(), "check\r\n"));
+            proxy.shutDown();
+            assertTrue(Rig.ask(proxy.controlAddress(), "check\n").startsWith("error"));
+        } finally {
+            proxy.stopNow();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "chec\n", "check vars\n", "\0\7\n"})
+    void aWrongLineIsAnError(String line) throws Exception {
+        rig.start();
+        assertTrue(rig.ask(line).startsWith("error"));
+    }
+
+    @Test
+    void aLineThatIsTooLongIsAnErrorOrAClose() throws Exception {
+        rig.start();
+        try (Http caller = Http.to(rig.proxy().controlAddress())) {
+            caller.write("x".repeat(300));
+            assertTrue(caller.rest().startsWith("error"));
+        }
+        assertEquals("done\n", rig.ask("check\n"));
+    }
+
+    @Test
+    void aLineCutOffIsNoCall() throws Exception {
+        rig.start();
+        try (Http caller = Http.to(rig.proxy().controlAddress())) {
+            caller.write("che");
+            caller.socket.shutdownOutput();
+            assertEquals("", caller.rest());
+        }
+        assertEquals("done\n", rig.ask("check\n"));
+    }
+
+    /** They hold descriptors, so only so many may stay; one that asks is answered beside them. */
+    @Test
+    void callersThatSayNothingAreNoBurden() throws Exception {
+        rig.start();
+        List<Http> silent = new ArrayList<>();
+        for (int i = 0; i < 5 * Control.MOST_CALLERS; i++) {
+            silent.add(Http.to(rig.proxy().controlAddress()));
+        }
+        assertEquals("done\n", rig.ask("check\n"));
+        for (Http caller : silent.subList(0, 4 * Control.MOST_CALLERS)) {
+            assertEquals("", caller.rest(), "not let go");
+        }
+    }
+
+    @Test
+    void withoutAnAddressNothingListens() throws Exception {
+        rig.control(null).start();
+        assertNull(rig.proxy().controlAddress());
+    }
+
+    @Test
+    void anAddressThatCannotBeUsedIsSaidAndTheProxyServes() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+            rig.control("127.0.0.1:" + taken.getLocalPort()).start(Rig.entry("s", backend.address(),
+                    "SERVING"));
+            rig.awaitLog("no control address: ");
+            assertEquals(200, rig.call(Rig.get("r", "")).status());
+        }
+    }
+
+    /** One request served at its second attempt, one refused, one failed, one whose client left. */
+    @Test
+    void countsEachRequestOnceByItsEndAndEachAttempt() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            switch (request.header("X-Request-Id")) {
+                case "full" -> connection.write(
+                        "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                case "silent" -> { }
+                case "breaks" -> connection.reset();
+                default -> connection.answer("200 OK", "x");
+            }
+        });
+        ScriptedServer drains = rig.backend(ScriptedServer.SILENT);
+        rig.aimUs(300_000).start(Rig.entry("s", backend.address(), "SERVING"),
+                Rig.entry("t", drains.address(), "DRAINING"));
+        assertEquals(2, rig.figure("hosts_listed"));
+        assertEquals(1, rig.figure("hosts_down"));
+        assertEquals(200, rig.call(Rig.get("served", "")).status());
+        assertEquals(503, rig.call(Rig.post("/move", "full", "")).status());
+        assertEquals(404, rig.call("GET /nothing HTTP/1.1\r\nHost: p\r\n\r\n").status());
+        try (Http leaves = rig.client()) {
+            leaves.write(Rig.get("silent", ""));
+            rig.awaitFigure("inflight", 1);
+            rig.awaitFigure("backend_calls", 3);
+        }
+        rig.awaitFigure("inflight", 0);
+        assertEquals(502, rig.call(Rig.post("/move", "breaks", "")).status());
+        assertEquals("""
+                app_success{tier="board"} 1
+                app_success{tier="buy"} 0
+                app_success{tier="move"} 0
+                app_busy{tier="board"} 0
+                app_busy{tier="buy"} 0
+                app_busy{tier="move"} 1
+                app_failure{tier="board"} 0
+                app_failure{tier="buy"} 0
+                app_failure{tier="move"} 1
+                app_backend_calls 4
+                app_inflight 0
+                app_hosts_listed 2
+                app_hosts_down 2
+                end
+                """, rig.ask("vars\n"));
+    }
+
+    /** One that may ask at an address where a socket of its own stays open is never kept waiting. */
+    @Test
+    void answersAndClosesThoughTheCallerStays() throws Exception {
+        rig.start();
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(),
+                rig.proxy().controlAddress().getPort())) {
+            caller.getOutputStream().write("check\nvars\n".getBytes());
+            assertEquals("done\n", new String(caller.getInputStream().readAllBytes()));
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/Http.java
+++ b/src/test/java/passhatch/proxy/Http.java
@@ -79,6 +79,11 @@
         return new Message(start, headers, body);
     }
 
+    /** All that still comes, up to the end of the connection. */
+    String rest() throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+
     private String line() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int b = in.read(); b != '\n'; b = in.read()) {
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -159,7 +159,7 @@
         Http client = rig.client();
         client.write(Rig.get("a", ""));
         assertEquals("x", client.read().text());
-        for (int i = 0; i < 100; i++) {
+        for (int i = 0; i < 200; i++) {
             rig.client();
         }
         rig.awaitLog("clients are connected");
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -30,6 +30,8 @@
     private final Path folder;
     private final ScriptedServer discovery;
     private int aimUs = 9_000_000;
+    private int sockets = 256;
+    private String control;
     private ProxyServer proxy;
     private ProxyServer.Module module = passhatch.Logic::new;
 
@@ -70,6 +72,21 @@
         return this;
     }
 
+    Rig sockets(int most) {
+        sockets = most;
+        return this;
+    }
+
+    /** Has operators ask at an address of the proxy's choice. */
+    Rig control() {
+        return control("127.0.0.1:0");
+    }
+
+    Rig control(String address) {
+        control = address;
+        return this;
+    }
+
     Rig module(ProxyServer.Module other) {
         module = other;
         return this;
@@ -99,16 +116,21 @@
     /** The environment of a proxy whose known list is empty, with its configuration written. */
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, JSON.std.asString(Map.of("seed", "00000000000000ff",
-                "limits", Map.of("sockets", 256), "known", JSON.std.mapFrom(list(7, true)), "settings",
+        Map<String, Object> config = new HashMap<>(Map.of("seed", "00000000000000ff",
+                "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(list(7, true)), "settings",
                 Map.of("categories", List.of(kind("board", "pure"), kind("buy", "token"),
                         kind("move", "side_effect")),
                         "tenants", List.of(Map.of("name", "acme", "quotaPerS", 0)), "dcs", List.of("a"),
                         "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
                         "limits", limits, "rules", Map.of("drainGraceUs", 2_000_000, "coldFrom", 0.4,
-                                "coldUs", 1_000_000, "tipMultiple", 2.5, "overloadForUs", 1_000_000)))));
+                                "coldUs", 1_000_000, "tipMultiple", 2.5, "overloadForUs", 1_000_000))));
+        if (control != null) {
+            config.put("control", control);
+        }
+        Files.writeString(file, JSON.std.asString(config));
         return Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY",
-                "127.0.0.1:" + discovery.address().getPort(), "PROXY_CONFIG", file.toString());
+                "127.0.0.1:" + discovery.address().getPort(), "PROXY_CONFIG", file.toString(),
+                "TMPDIR", folder.toString());
     }
 
     private Map<String, Object> kind(String name, String effect) {
@@ -170,6 +192,36 @@
         return client;
     }
 
+    /** Asks as operators do, and returns all of the answer. */
+    String ask(String line) throws IOException {
+        return ask(proxy.controlAddress(), line);
+    }
+
+    static String ask(InetSocketAddress control, String line) throws IOException {
+        try (Http caller = Http.to(control)) {
+            caller.write(line);
+            return caller.rest();
+        }
+    }
+
+    /** One of the figures. */
+    long figure(String name) throws IOException {
+        return ask("vars\n").lines().filter(line -> line.startsWith("app_" + name + " "))
+                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst()
+                .orElseThrow();
+    }
+
+    /** Waits until a figure has come to a value, as it may be counted just after the answer is out. */
+    void awaitFigure(String name, long value) throws IOException, InterruptedException {
+        long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+        while (figure(name) != value) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError(name + " is not " + value + ":\n" + ask("vars\n"));
+            }
+            Thread.sleep(5);
+        }
+    }
+
     static String get(String id, String more) {
         return "GET /board/7?x=1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: " + id + "\r\n" + more + "\r\n";
     }
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -74,6 +74,74 @@
         }
     }
 
+    /** Each request on a new connection, while the process that serves is changed for another. */
+    @Test
+    void aNewProcessTakesOverWithNoRequestLost() throws Exception {
+        try (Rig rig = new Rig(folder).control()) {
+            CountDownLatch release = new CountDownLatch(1);
+            ScriptedServer backend = rig.backend((connection, request) -> {
+                if (request.header("X-Request-Id").equals("held")) {
+                    release.await();
+                }
+                connection.answer("200 OK", request.header("X-Request-Id"));
+            });
+            String list = Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING"));
+            InetSocketAddress address = freeAddress();
+            InetSocketAddress firstControl = freeAddress();
+            InetSocketAddress secondControl = freeAddress();
+            Process first = serve(rig, address, firstControl);
+            Process second = null;
+            try {
+                awaitDone(firstControl, rig, list);
+                Http kept = Http.to(address);
+                kept.write(Rig.get("kept", ""));
+                assertEquals("kept", kept.read().text());
+                Http held = Http.to(address);
+                held.write(Rig.get("held", ""));
+                second = serve(rig, address, secondControl);
+                awaitDone(secondControl, rig, list);
+                first.toHandle().destroy();
+                kept.write(Rig.get("again", ""));
+                for (int i = 0; first.isAlive(); i++) {
+                    try (Http client = Http.to(address)) {
+                        client.write(Rig.get("r" + i, ""));
+                        assertEquals("r" + i, client.read().text());
+                    }
+                    if (i == 20) {
+                        assertTrue(Rig.ask(firstControl, "check\n").startsWith("error"));
+                        Message away = kept.read();
+                        assertEquals("again", away.text());
+                        assertEquals("close", away.header("Connection"));
+                        release.countDown();
+                        assertEquals("held", held.read().text());
+                    }
+                }
+                assertEquals(0, first.exitValue());
+                assertTrue(Rig.ask(secondControl, "check\n").startsWith("done"));
+            } finally {
+                first.destroyForcibly();
+                if (second != null) {
+                    second.destroyForcibly();
+                }
+            }
+        }
+    }
+
+    /** Any watch may get a list that is handed in, so more are handed in until this process has one. */
+    private static void awaitDone(InetSocketAddress control, Rig rig, String list)
+            throws InterruptedException, IOException {
+        awaitListening(control);
+        while (!Rig.ask(control, "check\n").startsWith("done")) {
+            rig.lines.add(list);
+            Thread.sleep(10);
+        }
+    }
+
+    private static Process serve(Rig rig, InetSocketAddress address, InetSocketAddress control)
+            throws IOException {
+        return serve(rig, address, Map.of("PROXY_CONTROL", "127.0.0.1:" + control.getPort()));
+    }
+
     /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
     @Test
     void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
@@ -141,7 +209,13 @@
     }
 
     private static Process serve(Rig rig, InetSocketAddress address) throws IOException {
+        return serve(rig, address, Map.of());
+    }
+
+    private static Process serve(Rig rig, InetSocketAddress address, Map<String, String> more)
+            throws IOException {
         Map<String, String> env = new HashMap<>(rig.environment());
+        env.putAll(more);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         ProcessBuilder builder = new ProcessBuilder(java, "-cp",
