--- a/src/main/java/passhatch/proxy/Figures.java
+++ b/src/main/java/passhatch/proxy/Figures.java
@@ -44,7 +44,8 @@
         StringBuilder text = new StringBuilder();
         for (Ending how : Ending.values()) {
             for (int c = 0; c < classes.size(); c++) {
-                line(text, how.figure + "{tier=\"" + escaped(classes.get(c)) + "\"}", ended[how.ordinal()][c]);
+                line(text, how.figure + "{tier=\"" + escaped(classes.get(c)) + "\"}",
+                        ended[how.ordinal()][c]);
             }
         }
         line(text, "backend_calls", backendCalls);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -158,7 +158,8 @@
         if (list.whole()) {
             Set<String> gone = new HashSet<>(backends.keySet());
             list.endpoints().forEach(e -> gone.remove(e.server().id()));
-            gone.forEach(name -> backends.computeIfPresent(name, (n, b) -> new Backend(b.address(), ServerStatus.GONE)));
+            gone.forEach(name -> backends.computeIfPresent(name,
+                    (n, b) -> new Backend(b.address(), ServerStatus.GONE)));
         }
         for (EndpointList.Endpoint e : list.endpoints()) {
             Backend before = backends.put(e.server().id(), new Backend(e.address(), e.server().status()));
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -36,7 +36,7 @@
     private static final long SWEEP_MS = 250;
     /** What is left over after the longest deadline before the process ends whatever happens. */
     private static final long END_SLACK_MS = 500;
-    /** Descriptors for the JVM's own files, the selector, the listeners, discovery and the operators' calls. */
+    /** Descriptors for the JVM's own files, the selector, the listeners, discovery and operators' calls. */
     private static final int OWN_DESCRIPTORS = 32 + Control.MOST_CALLERS;
     /** Part of the descriptors for connections to backends: requests take a third at most, and some idle. */
     private static final double BACKEND_PART = 0.375;
