--- a/src/main/java/passhatch/Attempt.java
+++ b/src/main/java/passhatch/Attempt.java
@@ -12,6 +12,10 @@
     /** When it should have ended by all that is known; an attempt out longer is overdue. */
     long overdueAtUs;
     boolean out = true;
+    /** Its request's body is on its way, so it cannot be answered yet. */
+    boolean uploading;
+    /** Its answer has begun: only the rest of that is still to come. */
+    boolean begun;
     boolean provedNotRun;
     boolean overdue;
 
@@ -23,6 +27,11 @@
         this.known = known;
     }
 
+    /** Whether its server still owes an answer. */
+    boolean owed() {
+        return out && !uploading && !begun;
+    }
+
     /** Whether its server had just said that it was idle. */
     boolean toldIdle() {
         return known && ahead == call.size;
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -266,9 +266,21 @@
     void outcome(long nowUs, String request, int attempt, String server, Outcome outcome, long elapsedUs,
             boolean ended, LoadReport report);
 
-    /** A streamed answer began: the attempt belongs to the client now, and no time-out runs on it. */
+    /**
+     * A streamed answer began: the attempt belongs to the client now, and no time-out runs on it. It is the
+     * request's final answer; its outcome tells whether all of it came.
+     */
     void streamStarted(long nowUs, String request, int attempt, String server, long elapsedUs);
 
+    /**
+     * The body of a request goes out to the server of its attempt as it comes from the client and is not
+     * kept: the request cannot be sent again. The server owes no answer before {@link #bodyWritten}.
+     */
+    void bodySpent(long nowUs, String request);
+
+    /** All of such a body has gone out; the time that the server takes runs from now on. */
+    void bodyWritten(long nowUs, String request, int attempt);
+
     /** The client has gone; the request is over. */
     void clientGone(long nowUs, String request);
 
--- a/src/main/java/passhatch/Call.java
+++ b/src/main/java/passhatch/Call.java
@@ -18,6 +18,8 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean ended;
+    /** Its body went to a server and was not kept. */
+    boolean spent;
     boolean beyondShare;
     /** It had to wait for a server; those that did are sent only with a fair chance to be in time. */
     boolean held;
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -82,8 +81,6 @@
     private static final double ERRORS = 0.35;
     /** A slow server is tried again after this long at the latest, as it may have recovered. */
     private static final double MOST_LATE_US = 24_000_000;
-    /** A tenant may send as much at once as its share is in this time. */
-    private static final double SHARE_SAVED_US = 2_000_000;
     /** The load of a server that turned a call away as full. */
     private static final int FULL_LOAD = 1000;
     /** Copies that share a server, where only their own calls tell its load: they should see most of it. */
@@ -114,10 +111,7 @@
     private final ArrayDeque<Attempt> sent = new ArrayDeque<>();
     /** Share of errors among all latest answers. */
     private double errors;
-    /** Share of reports that calls refuted; until when none is believed; and how often that came. */
-    private double doubt;
-    private long doubtUntilUs = Long.MIN_VALUE;
-    private int doubts;
+    private final ReportTrust reports = new ReportTrust(FAIL_TIMEOUT_US, ERROR_WEIGHT, ERRORS);
     /** Share of connections that could not be made among all latest outcomes. */
     private double cut;
     /** The shortest aim of all classes. */
@@ -140,8 +134,7 @@
     private double workUs;
     /** The time that clients give a first try. */
     private double firstTryUs;
-    /** When what each tenant sent so far would have come, had it come evenly at the rate of its share. */
-    private final double[] sharesAtUs;
+    private final TenantShares shares;
     private double gapUs;
     private long lastSendUs = Long.MIN_VALUE;
 
@@ -156,8 +149,7 @@
         this.settings = settings;
         this.actions = Objects.requireNonNull(actions, "actions");
         this.random = new SplittableRandom(seed);
-        this.sharesAtUs = new double[settings.tenants().size()];
-        Arrays.fill(sharesAtUs, Long.MIN_VALUE);
+        this.shares = new TenantShares(settings);
         this.times = new CallTimes(settings.classes().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
         this.leastWorth = settings.classes().stream().mapToDouble(RequestClass::worth).min().orElseThrow();
@@ -360,30 +352,13 @@
             usefulUs -= kind.deadlineUs() - request.timeLeftUs();
         }
         Call call = new Call(request, kind, nowUs, nowUs + Math.min(request.timeLeftUs(), usefulUs), size);
-        call.beyondShare = beyondShare(nowUs, request.tenant());
+        call.beyondShare = shares.beyond(nowUs, request.tenant());
         calls.put(request.id(), call);
         retries = Math.min(RETRY_SAVED, retries + RETRY_EARNED);
         probes = Math.min(probes + probesEarned, probesEarned * PROBE_ROUNDS);
         dispatch(nowUs, call);
     }
 
-    /**
-     * Whether a request lies beyond its tenant's share, by this copy's part of the quota. It earns little,
-     * so while no server is idle it makes room for others. Below the first tier work was already done for
-     * it.
-     */
-    private boolean beyondShare(long nowUs, int tenant) {
-        if (settings.tier() > 0 || settings.overQuotaWorth() >= 1 || tenant >= sharesAtUs.length) {
-            return false;
-        }
-        double quota = settings.tenants().get(tenant).quotaPerSecond() / settings.copies();
-        if (quota > 0 && sharesAtUs[tenant] > nowUs + SHARE_SAVED_US) {
-            return true;
-        }
-        sharesAtUs[tenant] = Math.max(sharesAtUs[tenant], nowUs) + (quota > 0 ? 1e6 / quota : 0);
-        return false;
-    }
-
     /** Sends the call to the server whose turn it is, or lets it wait for one. */
     private void dispatch(long nowUs, Call call) {
         if (nowUs + leastUs(call) > call.endAtUs || nowUs >= call.endAtUs) {
@@ -460,12 +435,7 @@
         Attempt attempt = new Attempt(call, s, nowUs, load(nowUs, s) + call.size,
                 probesEarned == 0 || s.reportUntilUs > nowUs);
         call.attempts.add(attempt);
-        if (times.callUs() > 0) {
-            attempt.overdueAtUs = nowUs
-                    + (long) (CALL_OVERDUE * times.callUs() * attempt.ahead * length(call));
-            sent.add(attempt);
-            wake(sent.peek().overdueAtUs);
-        }
+        await(nowUs, attempt);
         call.out++;
         s.inFlight++;
         double late = Math.min(paceUs(nowUs) * (slowness(s) - 1), MOST_LATE_US) + paceUs(nowUs) * farness(s);
@@ -477,6 +447,16 @@
         actions.send(call.request.id(), s.id, call.deadlineUs - nowUs);
     }
 
+    /** From now on its server owes the attempt an answer. */
+    private void await(long nowUs, Attempt attempt) {
+        if (times.callUs() > 0) {
+            attempt.overdueAtUs = nowUs
+                    + (long) (CALL_OVERDUE * times.callUs() * attempt.ahead * length(attempt.call));
+            sent.add(attempt);
+            wake(sent.peek().overdueAtUs);
+        }
+    }
+
     /**
      * The server whose turn it is among those of the circle that this call may use and that are wanted.
      * Where all near ones are too crowded or slow for it, the circle goes on among the far ones: traffic
@@ -657,7 +637,7 @@
 
     /** Whether the call may be sent once more, after its attempts so far. */
     private boolean mayRepeat(long nowUs, Call call) {
-        if (call.attempts.size() >= settings.limits().maxAttempts() || nowUs >= call.endAtUs) {
+        if (call.attempts.size() >= settings.limits().maxAttempts() || nowUs >= call.endAtUs || call.spent) {
             return false;
         }
         Attempt mayHaveRun = call.mayHaveRun();
@@ -671,27 +651,26 @@
     @Override
     public void outcome(long nowUs, String id, int number, String server, Outcome outcome, long elapsedUs,
             boolean ended, LoadReport report) {
-        Call call = calls.get(id);
-        if (call == null || number >= call.attempts.size() || !call.attempts.get(number).out) {
+        Attempt attempt = attemptOut(id, number);
+        if (attempt == null) {
             return;
         }
-        Attempt attempt = call.attempts.get(number);
+        Call call = attempt.call;
         attempt.out = false;
-        attempt.server.inFlight--;
+        attempt.server.inFlight -= attempt.begun ? 0 : 1;
         call.out--;
         if (attempt.server.draining) {
             closeIdle(attempt.server.id);
         }
         judge(nowUs, attempt.server, outcome);
-        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && (attempt.known || times.callUs() == 0)) {
-            times.add(attempt, outcome == Outcome.OK, elapsedUs);
-            attempt.server.callSeenUs = nowUs;
+        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && !attempt.begun) {
+            took(nowUs, attempt, outcome == Outcome.OK, elapsedUs);
         } else if (outcome == Outcome.FULL) {
             attempt.server.reported = FULL_LOAD;
             attempt.server.reportUntilUs = nowUs + (long) (times.callUs() * BUSY_HOLDS);
         }
         if (attempt.toldIdle()) {
-            judgeReports(nowUs, outcome == Outcome.FULL || outcome == Outcome.TIMEOUT);
+            reports.judge(nowUs, outcome == Outcome.FULL || outcome == Outcome.TIMEOUT);
         }
         attempt.provedNotRun = outcome.provesNotRun;
         if (outcome == Outcome.TIMEOUT && !attempt.overdue) {
@@ -708,22 +687,22 @@
         advance(nowUs);
     }
 
-    /**
-     * Where servers that had just called themselves idle turn calls away as full or leave them unanswered,
-     * reports are old: believed, they send the calls of all copies to those that were idle a while ago. So
-     * for a time this copy goes by its own calls alone.
-     */
-    private void judgeReports(long nowUs, boolean refuted) {
-        doubt += ERROR_WEIGHT * ((refuted ? 1 : 0) - doubt);
-        if (doubt > ERRORS) {
-            doubtUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(doubts++, MOST_DOUBLINGS));
-            doubt = 0;
+    private Attempt attemptOut(String id, int number) {
+        Call call = calls.get(id);
+        Attempt attempt = call == null || number >= call.attempts.size() ? null : call.attempts.get(number);
+        return attempt == null || !attempt.out ? null : attempt;
+    }
+
+    private void took(long nowUs, Attempt attempt, boolean served, long elapsedUs) {
+        if (attempt.known || times.callUs() == 0) {
+            times.add(attempt, served, elapsedUs);
+            attempt.server.callSeenUs = nowUs;
         }
     }
 
     /** Whether probes tell what servers hold. */
     private boolean told(long nowUs) {
-        return probesEarned > 0 && doubtUntilUs <= nowUs;
+        return probesEarned > 0 && reports.believed(nowUs);
     }
 
     /**
@@ -805,7 +784,36 @@
 
     @Override
     public void streamStarted(long nowUs, String id, int attempt, String server, long elapsedUs) {
-        // The attempt is the client's now, and its outcome will end the call.
+        Attempt started = attemptOut(id, attempt);
+        if (started == null || started.begun) {
+            return;
+        }
+        // The server has done its work; how long the rest takes is its client's doing.
+        started.begun = true;
+        started.server.inFlight--;
+        judge(nowUs, started.server, Outcome.OK);
+        took(nowUs, started, true, elapsedUs);
+        started.call.ended = true;
+        cancelRest(started.call);
+        advance(nowUs);
+    }
+
+    @Override
+    public void bodySpent(long nowUs, String id) {
+        Call call = calls.get(id);
+        if (call != null) {
+            call.spent = true;
+            call.attempts.forEach(a -> a.uploading = a.out);
+        }
+    }
+
+    @Override
+    public void bodyWritten(long nowUs, String id, int attempt) {
+        Attempt written = attemptOut(id, attempt);
+        if (written != null && written.uploading) {
+            written.uploading = false;
+            await(nowUs, written);
+        }
     }
 
     @Override
@@ -821,7 +829,7 @@
 
     private void cancelRest(Call call) {
         for (int i = 0; i < call.attempts.size() && settings.limits().cancel(); i++) {
-            if (call.attempts.get(i).out) {
+            if (call.attempts.get(i).out && !call.attempts.get(i).begun) {
                 actions.cancel(call.request.id(), i);
             }
         }
@@ -944,9 +952,9 @@
         if (askAtUs != Long.MAX_VALUE) {
             wake(askAtUs);
         }
-        while (!sent.isEmpty() && (!sent.peek().out || sent.peek().overdueAtUs <= nowUs)) {
+        while (!sent.isEmpty() && (!sent.peek().owed() || sent.peek().overdueAtUs <= nowUs)) {
             Attempt oldest = sent.poll();
-            if (oldest.out) {
+            if (oldest.owed() && !oldest.overdue) {
                 oldest.overdue = true;
                 silent(nowUs, oldest.server);
             }
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -1,7 +1,8 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,16 +12,21 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,12 +49,15 @@
     private static final int MOST_IDLE = 8;
     /** Part of the backends' idle time after which a connection is closed, before they may close it. */
     private static final double IDLE_PART = 0.7;
-    private static final int MOST_BODY = 1 << 16;
+    /** An answer of up to this size is held until it is whole; a longer one goes on as it comes. */
+    private static final int MOST_HELD = 1 << 16;
+    /** So does one that does not tell its length and is not whole by then. */
+    private static final long HOLD_MS = 200;
 
     /**
      * How a call ended.
      *
-     * @param body of a 200 answer, else null
+     * @param body of a 200 answer that was held, else null
      */
     record Result(Outcome outcome, byte[] body, LoadReport report) {
         static Result without(Outcome outcome) {
@@ -61,6 +70,9 @@
         /** The message was written whole. */
         default void written() { }
 
+        /** An answer begins that goes on as it comes; from now on the time-out is off. */
+        default void begun(AnswerStream answer) { }
+
         /** It has ended, once. */
         void done(Result result);
     }
@@ -69,21 +81,26 @@
     interface Handle {
         /** Closes its connection; it ends as cancelled unless it has ended already. */
         void cancel();
+
+        /** Gives it this long from now on. */
+        void endWithin(long us);
     }
 
     /**
      * What to send.
      *
-     * @param message makes the message, when it can be written
+     * @param message makes the message, or the head of one, when it can be written
+     * @param body goes out after the head as it comes; null where the message is whole
      * @param wanted asked just before it is written: false where it must not be sent any more
      * @param timeout how it ends when its time is up after it was written
      */
-    record Outgoing(Supplier<FullHttpRequest> message, BooleanSupplier wanted, long timeoutUs,
+    record Outgoing(Supplier<HttpRequest> message, RequestBody body, BooleanSupplier wanted, long timeoutUs,
             Outcome timeout) { }
 
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
+    private final ByteBudget budget;
     private final long idleUs;
     private int mostOpen;
     private final Bootstrap bootstrap;
@@ -93,18 +110,22 @@
     /**
      * A pool without connections.
      *
+     * @param budget of the bytes that it passes on
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
      * @param mostOpen connections at a time, so that descriptors are left for the callers
      */
-    BackendPool(EventLoop loop, Clock clock, EventLog log, long connectTimeoutUs, long keepaliveUs,
-            int mostOpen) {
+    BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
+            long keepaliveUs, int mostOpen) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
+        this.budget = budget;
         this.idleUs = (long) (keepaliveUs * IDLE_PART);
         this.mostOpen = mostOpen;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, ClientServer.READS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
@@ -137,12 +158,15 @@
     Handle send(InetSocketAddress address, Outgoing outgoing, Listener listener) {
         Call call = new Call(outgoing, listener);
         Connection kept = takeIdle(address);
+        if (kept == null && open.size() >= mostOpen) {
+            closeLongestIdle();
+        }
         if (kept == null && open.size() >= mostOpen) {
             log.line("no connection left for " + address + ": " + open.size() + " are open");
             loop.execute(() -> call.end(Result.without(Outcome.NOT_SENT)));
             return call;
         }
-        call.timeout = loop.schedule(call::timeUp, Math.max(0, outgoing.timeoutUs()), TimeUnit.MICROSECONDS);
+        call.endWithin(outgoing.timeoutUs());
         if (kept != null) {
             kept.call = call;
             call.connection = kept;
@@ -165,6 +189,15 @@
         return null;
     }
 
+    /** Makes room for one to another backend. */
+    private void closeLongestIdle() {
+        idle.values().stream().filter(at -> !at.isEmpty()).map(Deque::peekLast)
+                .min(Comparator.comparingLong(c -> c.idleSinceUs)).ifPresent(c -> {
+                    open.remove(c);
+                    c.channel.close();
+                });
+    }
+
     private void connect(InetSocketAddress address, Call call) {
         Connection c = new Connection(address);
         c.call = call;
@@ -173,8 +206,7 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(),
-                        new HttpObjectAggregator(MOST_BODY), c);
+                channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
             }
         }).connect(address);
         c.channel = connecting.channel();
@@ -209,6 +241,29 @@
             giveUp(Outcome.CANCELLED);
         }
 
+        @Override
+        public void endWithin(long us) {
+            stopClock();
+            if (!ended) {
+                timeout = loop.schedule(this::timeUp, Math.max(0, us), TimeUnit.MICROSECONDS);
+            }
+        }
+
+        void stopClock() {
+            if (timeout != null) {
+                timeout.cancel(false);
+                timeout = null;
+            }
+        }
+
+        /** All of the message has been handed to the network. */
+        void out() {
+            if (!ended) {
+                written = true;
+                listener.written();
+            }
+        }
+
         private void timeUp() {
             // What was never written whole cannot run: the connection did not come up in time.
             giveUp(written ? outgoing.timeout() : Outcome.CONNECT_FAILED);
@@ -217,8 +272,7 @@
         void giveUp(Outcome outcome) {
             if (!ended) {
                 if (connection != null) {
-                    connection.call = null;
-                    connection.channel.close();
+                    connection.letGo();
                 }
                 end(Result.without(outcome));
             }
@@ -227,8 +281,9 @@
         void end(Result result) {
             if (!ended) {
                 ended = true;
-                if (timeout != null) {
-                    timeout.cancel(false);
+                stopClock();
+                if (outgoing.body() != null && !written) {
+                    outgoing.body().cut();
                 }
                 listener.done(result);
             }
@@ -236,15 +291,16 @@
     }
 
     /** A connection, and the call that it carries now. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress address;
         final AnswerDecoder decoder = new AnswerDecoder();
         Channel channel;
         Call call;
         long idleSinceUs;
         /** The answer to the call, until all that came with it has been read. */
-        private Result answer;
-        private boolean keepAlive;
+        private Incoming answer;
+        /** What comes now belongs to an interim answer. */
+        private boolean interim;
 
         Connection(InetSocketAddress address) {
             this.address = address;
@@ -262,14 +318,32 @@
                 toWrite.end(Result.without(Outcome.NOT_SENT));
             } else {
                 decoder.expectAnswer();
+                RequestBody body = toWrite.outgoing.body();
                 channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
-                    if (done.isSuccess()) {
-                        toWrite.written = true;
-                        toWrite.listener.written();
-                    } else {
+                    if (!done.isSuccess()) {
                         channel.close();
+                    } else if (body == null) {
+                        toWrite.out();
                     }
                 });
+                if (body != null) {
+                    body.sendTo(channel, new BodyOut(toWrite));
+                }
+            }
+        }
+
+        /** The connection is given up, whatever it carries. */
+        void letGo() {
+            call = null;
+            dropAnswer();
+            channel.close();
+        }
+
+        private void dropAnswer() {
+            Incoming dropped = answer;
+            answer = null;
+            if (dropped != null) {
+                dropped.drop();
             }
         }
 
@@ -277,27 +351,39 @@
         void broken() {
             Call lost = call;
             call = null;
+            dropAnswer();
             if (lost != null) {
                 lost.end(Result.without(lost.written ? Outcome.RESET : Outcome.CONNECT_FAILED));
             }
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+            if (part instanceof HttpResponse head) {
+                begin(ctx, head);
+            }
+            if (part instanceof HttpContent content) {
+                if (interim) {
+                    interim = !(content instanceof LastHttpContent);
+                } else if (answer != null) {
+                    answer.take(content);
+                }
+            }
+        }
+
+        private void begin(ChannelHandlerContext ctx, HttpResponse head) {
+            interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            if (interim) {
                 return;
             }
             if (call == null) {
                 log.line("an answer from " + address + " that nothing asked for");
                 ctx.close();
-                return;
+            } else if (answer == null) {
+                answer = new Incoming(this, call, head);
+            } else {
+                answer.second(head);
             }
-            // A second answer to one request is dropped with its connection; one that is no HTTP may be what
-            // is left of a body that was longer than its head said.
-            boolean whole = response.decoderResult().isSuccess() && !decoder.malformed()
-                    && (answer == null || answer.outcome() != Outcome.RESET);
-            keepAlive = whole && answer == null && call.written && HttpUtil.isKeepAlive(response);
-            answer = !whole ? Result.without(Outcome.RESET) : answer == null ? result(response) : answer;
         }
 
         /**
@@ -308,24 +394,26 @@
         public void channelReadComplete(ChannelHandlerContext ctx) {
             boolean surplus = decoder.surplus();
             Call answered = call;
-            Result given = surplus ? Result.without(Outcome.RESET) : answer;
+            Incoming given = answer;
             if (answered == null && surplus) {
                 log.line("bytes from " + address + " that nothing asked for");
                 ctx.close();
-            } else if (answered != null && answer != null) {
+            } else if (answered != null && given != null && given.complete()) {
+                boolean again = given.keepAlive() && answered.written && !surplus;
                 call = null;
                 answer = null;
-                if (keepAlive && !surplus) {
+                if (again) {
                     keep();
                 } else {
                     ctx.close();
                 }
-                answered.end(given);
+                given.finish(surplus);
             }
             ctx.fireChannelReadComplete();
         }
 
         private void keep() {
+            channel.config().setAutoRead(true);
             idleSinceUs = clock.nowUs();
             Deque<Connection> at = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
             at.addFirst(this);
@@ -350,11 +438,164 @@
         }
     }
 
-    private static Result result(FullHttpResponse response) {
+    /** Hears how the body of a request went out. */
+    private record BodyOut(Call call) implements Relay.Listener {
+        @Override
+        public void passed() {
+            call.out();
+        }
+
+        @Override
+        public void broken() {
+            call.connection.channel.close();
+        }
+    }
+
+    /** An answer while it comes in. */
+    private final class Incoming implements AnswerStream {
+        private final Connection connection;
+        private final Call call;
+        private final HttpResponse head;
+        private final long length;
+        private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+        private final Future<?> hold;
+        private Relay relay;
+        private boolean begun;
+        private boolean whole;
+        private boolean malformed;
+        private boolean single = true;
+
+        Incoming(Connection connection, Call call, HttpResponse head) {
+            this.connection = connection;
+            this.call = call;
+            this.head = head;
+            this.length = HttpUtil.getContentLength(head, -1L);
+            this.malformed = head.decoderResult().isFailure() || connection.decoder.malformed();
+            this.hold = length < 0 && head.status().equals(HttpResponseStatus.OK)
+                    ? loop.schedule(this::begin, HOLD_MS, TimeUnit.MILLISECONDS) : null;
+        }
+
+        /**
+         * A second answer to one request is dropped with its connection; one that is no HTTP may be what is
+         * left of a body that was longer than its head said.
+         */
+        void second(HttpResponse next) {
+            single = false;
+            malformed |= next.decoderResult().isFailure();
+        }
+
+        void take(HttpContent content) {
+            malformed |= content.decoderResult().isFailure();
+            if (!single || malformed) {
+                return;
+            }
+            if (relay != null) {
+                relay.pass(content.content().retain());
+            } else {
+                hold(content.content());
+            }
+            whole |= content instanceof LastHttpContent;
+            if (!whole && (length > MOST_HELD || held.size() > MOST_HELD)) {
+                begin();
+            }
+        }
+
+        private void hold(ByteBuf bytes) {
+            budget.add(bytes.readableBytes());
+            try {
+                bytes.getBytes(bytes.readerIndex(), held, bytes.readableBytes());
+            } catch (IOException cannotBe) {
+                throw new IllegalStateException(cannotBe);
+            }
+        }
+
+        /** From now on it goes on as it comes; where it is no 200, nobody wants the rest. */
+        private void begin() {
+            if (begun || whole || malformed || connection.answer != this) {
+                return;
+            }
+            if (head.status().equals(HttpResponseStatus.OK)) {
+                begun = true;
+                connection.channel.config().setAutoRead(false);
+                call.stopClock();
+                call.listener.begun(this);
+            } else {
+                connection.letGo();
+                call.end(result(head, null));
+            }
+        }
+
+        @Override
+        public long length() {
+            return length;
+        }
+
+        @Override
+        public void sendTo(Channel client, Relay.Listener listener) {
+            // Once it is whole its connection may serve another call.
+            relay = new Relay(loop, budget, on -> {
+                if (!whole) {
+                    connection.channel.config().setAutoRead(on);
+                }
+            }, client, listener);
+            relay.pass(Unpooled.wrappedBuffer(release()));
+            if (whole && relay != null) {
+                relay.finish();
+            }
+        }
+
+        private byte[] release() {
+            byte[] bytes = held.toByteArray();
+            budget.remove(bytes.length);
+            held.reset();
+            return bytes;
+        }
+
+        boolean complete() {
+            return whole || malformed;
+        }
+
+        boolean keepAlive() {
+            return whole && single && !malformed && HttpUtil.isKeepAlive(head);
+        }
+
+        /** All that came with it has been read. */
+        void finish(boolean surplus) {
+            stopHold();
+            byte[] body = begun ? null : release();
+            if (malformed || surplus && !begun) {
+                drop();
+                call.end(Result.without(Outcome.RESET));
+                return;
+            }
+            call.end(result(head, body));
+            if (relay != null) {
+                relay.finish();
+            }
+        }
+
+        /** It will not be whole. */
+        void drop() {
+            stopHold();
+            release();
+            if (relay != null) {
+                relay.stop();
+                relay = null;
+            }
+        }
+
+        private void stopHold() {
+            if (hold != null) {
+                hold.cancel(false);
+            }
+        }
+    }
+
+    private static Result result(HttpResponse response, byte[] body) {
         HttpResponseStatus status = response.status();
         LoadReport report = LoadText.parse(response.headers().get("X-Load"));
         if (status.equals(HttpResponseStatus.OK)) {
-            return new Result(Outcome.OK, ByteBufUtil.getBytes(response.content()), report);
+            return new Result(Outcome.OK, body, report);
         }
         // Without the header a 503 or 504 may come from a tier behind, after the request ran.
         boolean turnedAway = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
--- /dev/null
+++ b/src/main/java/passhatch/proxy/ByteBudget.java
@@ -0,0 +1,29 @@
+package passhatch.proxy;
+
+/** The bytes of bodies that this process holds on their way, over all connections, and how many it may. */
+final class ByteBudget {
+
+    private final long most;
+    private long held;
+
+    ByteBudget(long most) {
+        this.most = most;
+    }
+
+    void add(long bytes) {
+        held += bytes;
+    }
+
+    void remove(long bytes) {
+        held -= bytes;
+    }
+
+    /** Whether nothing more should be read that something held stands before. */
+    boolean over() {
+        return held > most;
+    }
+
+    long held() {
+        return held;
+    }
+}
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -23,17 +23,19 @@
  * @param models names of the machine kinds, by position
  * @param connectTimeoutUs a connection that takes longer counts as not to be had
  * @param sockets file descriptors that this proxy's processes may hold together
+ * @param memoryBytes that this proxy's processes may take together
  * @param known the list as this proxy last had it
  * @param control where operators ask, or null
  * @param folder of this proxy's processes, or null
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> models, long connectTimeoutUs, int sockets, EndpointList known,
+        List<String> models, long connectTimeoutUs, int sockets, long memoryBytes, EndpointList known,
         InetSocketAddress control, Path folder) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final int DEFAULT_SOCKETS = 1024;
+    private static final long DEFAULT_MEMORY_MB = 144;
 
     /** The configuration cannot be used; the message is one plain line. */
     static final class BadConfig extends Exception {
@@ -72,7 +74,9 @@
         return new ProxyConfig(name, listen, discovery, seed(file.get("seed")), settings,
                 names(params, "categories"), names(params, "tenants"), zones, models,
                 ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
-                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known,
+                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS,
+                (limits.get("memory_mb") instanceof Number n ? n.longValue() : DEFAULT_MEMORY_MB) << 20,
+                known,
                 control(env.get("PROXY_CONTROL"), file.get("control")), folder(env.get("TMPDIR")));
     }
 
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -46,10 +48,18 @@
      * each answer into the mean that it waits for.
      */
     private static final long PROBE_TIMEOUT_US = 50_000;
+    /** A body that has not come whole by then never will: the slowest is sent at 64 kB a second. */
+    private static final long LONGEST_UPLOAD_US = 600_000_000;
 
     /** Where the final answer of a request goes. */
     interface Responder {
         void answer(Answer answer);
+
+        /** Passes an answer on as it comes, and has told how that ended once. */
+        void stream(AnswerStream answer, Relay.Listener out);
+
+        /** What was begun to be passed on will not be whole. */
+        void broken();
     }
 
     /** What is known of a backend's address and what the list says of it. */
@@ -73,9 +83,10 @@
     private boolean deciding;
     private boolean listed;
     private int unanswered;
+    /** Of these, requests whose bodies are still coming. */
+    private int uploading;
     /** What is taken from now on is answered by then. */
     private long lastAnswerUs = Long.MAX_VALUE;
-    private Runnable onIdle = () -> { };
 
     /** Something to tell the module. */
     private record Event(Exchange about, Runnable tell) { }
@@ -112,16 +123,8 @@
 
     /** What operators are told, a line each. */
     String figures() {
-        return figures.text(unanswered, (int) backends.values().stream().filter(Backend::listed).count(),
-                balancer.hostsDown(clock.nowUs()));
-    }
-
-    /** Calls back when no request is unanswered, at once where none is. */
-    void whenIdle(Runnable then) {
-        onIdle = then;
-        if (unanswered == 0) {
-            then.run();
-        }
+        int inList = (int) backends.values().stream().filter(Backend::listed).count();
+        return figures.text(unanswered - uploading, inList, balancer.hostsDown(clock.nowUs()));
     }
 
     /** Discovery is found at another address from now on. */
@@ -169,32 +172,87 @@
         }
     }
 
-    /** Takes a request; false where one with its id is still held. */
-    boolean take(ProxyRequest request, Responder responder) {
-        long now = clock.nowUs();
-        Exchange e = new Exchange(request, responder,
-                Math.min(now + request.timeLeftUs() - ANSWER_MARGIN_US, lastAnswerUs));
+    /**
+     * Takes a request whose body is whole, or is too long to be kept; false where one with its id is still
+     * held.
+     *
+     * @param unreadUs how long its last bytes may have stood unread
+     */
+    boolean take(ProxyRequest request, long unreadUs, Responder responder) {
+        Exchange e = new Exchange(request, responder);
         if (exchanges.putIfAbsent(request.id(), e) != null) {
             return false;
         }
         unanswered++;
-        e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
-                TimeUnit.MICROSECONDS);
+        e.uploading = !request.body().ended();
+        if (e.uploading) {
+            uploading++;
+        } else {
+            runClock(e, unreadUs);
+        }
+        long givenUs = e.uploading ? request.budgetUs() : 0;
         tell(e, () -> {
             long at = clock.nowUs();
             balancer.request(at, new Request(request.id(), request.requestClass(), request.tenant(),
-                    Math.max(0, e.deadlineUs - at), request.workUs(), request.retry()));
+                    Math.max(0, givenUs > 0 ? givenUs : e.deadlineUs - at), request.workUs(),
+                    request.retry()));
         });
         return true;
     }
 
-    /** The client has closed its connection: no answer is owed any more. */
+    /** All of a request has come, of which only a part had when it was taken: its time runs from now on. */
+    void bodyEnded(String id, long unreadUs) {
+        Exchange e = exchanges.get(id);
+        if (e == null || !e.uploading) {
+            return;
+        }
+        stopUploading(e);
+        if (!e.answered) {
+            runClock(e, unreadUs);
+            for (Attempt a : e.attempts) {
+                if (a.outcome == null && a.handle != null) {
+                    a.handle.endWithin(e.deadlineUs - clock.nowUs());
+                }
+            }
+        }
+    }
+
+    private void stopUploading(Exchange e) {
+        if (e.uploading) {
+            e.uploading = false;
+            uploading--;
+        }
+    }
+
+    private void runClock(Exchange e, long unreadUs) {
+        long now = clock.nowUs();
+        e.deadlineUs = Math.min(now + e.request.budgetUs() - unreadUs - ANSWER_MARGIN_US, lastAnswerUs);
+        e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
+                TimeUnit.MICROSECONDS);
+    }
+
+    /** The client has closed its connection, or spoilt its request: no answer is owed any more. */
     void clientGone(String id) {
         Exchange e = exchanges.get(id);
-        if (e != null && !e.answered) {
-            end(e, null);
+        if (e == null || e.ended) {
+            return;
+        }
+        boolean streams = e.answered;
+        decide(e);
+        end(e, null);
+        if (streams) {
+            giveUpAttempts(e);
+        } else {
             tell(e, () -> balancer.clientGone(clock.nowUs(), id));
-            forget(e);
+        }
+        forget(e);
+    }
+
+    private static void giveUpAttempts(Exchange e) {
+        for (Attempt a : e.attempts) {
+            if (a.outcome == null && a.handle != null) {
+                a.handle.cancel();
+            }
         }
     }
 
@@ -208,11 +266,43 @@
         }
     }
 
+    /** What was begun is the final answer: no other attempt counts from now on. */
+    private void answerBegun(Exchange e, Attempt attempt, AnswerStream stream) {
+        if (e.answered) {
+            attempt.handle.cancel();
+            return;
+        }
+        decide(e);
+        attempt.streams = true;
+        tell(e, () -> balancer.streamStarted(clock.nowUs(), e.request.id(), attempt.number, attempt.server,
+                elapsedUs(attempt)));
+        e.responder.stream(stream, new Relay.Listener() {
+            @Override
+            public void passed() {
+                end(e, Figures.Ending.SERVED);
+                forget(e);
+            }
+
+            @Override
+            public void broken() {
+                clientGone(e.request.id());
+                e.responder.broken();
+            }
+        });
+    }
+
+    private long elapsedUs(Attempt attempt) {
+        return clock.nowUs() - attempt.sentAtUs;
+    }
+
     private void attemptEnded(Exchange e, Attempt attempt, Result result) {
         attempt.outcome = result.outcome();
-        long elapsedUs = clock.nowUs() - attempt.sentAtUs;
+        long elapsedUs = elapsedUs(attempt);
         if (result.outcome() == Outcome.OK && !e.answered) {
             answer(e, Answer.served(result.body()));
+        } else if (result.outcome() != Outcome.OK && attempt.streams && !e.ended) {
+            end(e, Figures.Ending.FAILED);
+            e.responder.broken();
         }
         boolean ended = e.answered;
         if (result.outcome() != Outcome.OK && result.outcome() != Outcome.CANCELLED) {
@@ -260,19 +350,31 @@
         }
         Attempt attempt = new Attempt(e.attempts.size(), server, now);
         e.attempts.add(attempt);
-        long leftUs = e.deadlineUs - now;
-        long waitUs = timeoutUs == 0 ? leftUs : Math.min(timeoutUs, leftUs);
-        if (e.answered || waitUs <= 0 || attempt.number >= maxAttempts) {
+        RequestBody body = e.request.body();
+        // The time of one that is still coming runs once it has come; until then its progress is watched.
+        long leftUs = e.uploading ? LONGEST_UPLOAD_US : e.deadlineUs - now;
+        long waitUs = timeoutUs == 0 || e.uploading ? leftUs : Math.min(timeoutUs, leftUs);
+        if (e.answered || waitUs <= 0 || attempt.number >= maxAttempts || !body.canBeSent()) {
             loop.execute(() -> attemptEnded(e, attempt, Result.without(Outcome.NOT_SENT)));
             return;
         }
-        long untilUs = now + waitUs;
-        attempt.handle = pool.send(backend.address(), new Outgoing(() -> message(e.request, untilUs),
-                () -> !e.answered && isUp(server), waitUs, Outcome.TIMEOUT),
+        long untilUs = e.uploading ? now + e.request.budgetUs() : now + waitUs;
+        attempt.handle = pool.send(backend.address(), new Outgoing(() -> message(e, untilUs),
+                body.isLong() ? body : null, () -> !e.answered && isUp(server), waitUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
                     public void written() {
                         figures.backendCall();
+                        if (body.isLong()) {
+                            attempt.sentAtUs = clock.nowUs();
+                            tell(e, () -> balancer.bodyWritten(clock.nowUs(), e.request.id(),
+                                    attempt.number));
+                        }
+                    }
+
+                    @Override
+                    public void begun(AnswerStream answer) {
+                        answerBegun(e, attempt, answer);
                     }
 
                     @Override
@@ -290,17 +392,32 @@
         return backends.get(server).status() == ServerStatus.UP;
     }
 
-    private FullHttpRequest message(ProxyRequest request, long untilUs) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()));
+    /** The request as it goes to a backend, or its head where its body follows as it comes. */
+    private HttpRequest message(Exchange e, long untilUs) {
+        ProxyRequest request = e.request;
+        RequestBody body = request.body();
+        HttpRequest message;
+        if (body.isLong()) {
+            message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
+            if (body.declared() >= 0) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.declared());
+            } else {
+                message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            tell(e, () -> balancer.bodySpent(clock.nowUs(), request.id()));
+        } else {
+            byte[] kept = body.kept();
+            message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+                    Unpooled.wrappedBuffer(kept));
+            if (!request.method().equals(HttpMethod.GET) || kept.length > 0) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, kept.length);
+            }
+        }
         message.headers().set(HttpHeaderNames.HOST, "backend").set("X-Request-Id", request.id())
                 .set("X-Deadline", Math.max(1, untilUs - clock.nowUs()) + "u");
         if (request.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", request.idempotencyKey());
         }
-        if (!request.method().equals(HttpMethod.GET) || request.body().length > 0) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        }
         return message;
     }
 
@@ -345,15 +462,15 @@
             return;
         }
         long sentAtUs = clock.nowUs();
-        pool.send(backend.address(), new Outgoing(ProxyLoop::probeMessage, () -> isUp(server),
-                PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> tell(null, () -> {
+        pool.send(backend.address(), new Outgoing(ProxyLoop::probeMessage, null,
+                () -> isUp(server), PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> tell(null, () -> {
                     long now = clock.nowUs();
                     balancer.probeResult(now, server, result.outcome(), now - sentAtUs, report(result));
                 }));
     }
 
-    private static FullHttpRequest probeMessage() {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+    private static HttpRequest probeMessage() {
+        HttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 "/status/load");
         message.headers().set(HttpHeaderNames.HOST, "backend");
         return message;
@@ -384,30 +501,33 @@
 
     /** Gives the one final answer. */
     private void answer(Exchange e, Answer answer) {
+        decide(e);
         end(e, answer.ending());
         e.responder.answer(answer);
     }
 
+    /** The final answer is settled, though it may still be on its way. */
+    private static void decide(Exchange e) {
+        e.answered = true;
+        if (e.backstop != null) {
+            e.backstop.cancel(false);
+        }
+    }
+
     /** The one place where a request ends; with null where its client has left. */
     private void end(Exchange e, Figures.Ending how) {
-        e.answered = true;
+        e.ended = true;
         if (how != null) {
             figures.ended(e.request.requestClass(), how);
         }
-        e.backstop.cancel(false);
+        stopUploading(e);
+        e.request.body().drop();
         unanswered--;
-        if (unanswered == 0) {
-            loop.execute(() -> {
-                if (unanswered == 0) {
-                    onIdle.run();
-                }
-            });
-        }
     }
 
     /** A request is remembered until its last attempt has ended, as the module is told of that too. */
     private void forget(Exchange e) {
-        if (e.answered && e.attempts.stream().allMatch(a -> a.outcome != null)) {
+        if (e.ended && e.attempts.stream().allMatch(a -> a.outcome != null)) {
             exchanges.remove(e.request.id(), e);
         }
     }
@@ -416,15 +536,19 @@
     private static final class Exchange {
         final ProxyRequest request;
         final Responder responder;
-        final long deadlineUs;
         final List<Attempt> attempts = new ArrayList<>(2);
+        /** When it must be answered; not known before all of it has come. */
+        long deadlineUs = Long.MAX_VALUE;
         Future<?> backstop;
+        boolean uploading;
+        /** Its final answer is settled. */
         boolean answered;
+        /** And given, or its client has left. */
+        boolean ended;
 
-        Exchange(ProxyRequest request, Responder responder, long deadlineUs) {
+        Exchange(ProxyRequest request, Responder responder) {
             this.request = request;
             this.responder = responder;
-            this.deadlineUs = deadlineUs;
         }
 
         boolean mayHaveRun() {
@@ -436,7 +560,10 @@
     private static final class Attempt {
         final int number;
         final String server;
-        final long sentAtUs;
+        /** When it was sent; where its body went out as it came, when that had all gone. */
+        long sentAtUs;
+        /** Its answer is passed on as it comes. */
+        boolean streams;
         BackendPool.Handle handle;
         Outcome outcome;
 
--- a/src/main/java/passhatch/proxy/ProxyRequest.java
+++ b/src/main/java/passhatch/proxy/ProxyRequest.java
@@ -7,11 +7,11 @@
  *
  * @param requestClass its class, by position in the settings
  * @param tenant its tenant, by position
- * @param timeLeftUs until its client gives up, as of now; may be negative
+ * @param budgetUs how long its client waits from the moment it has sent all of it
  * @param workUs a guess at its work; 0 where there is none
  * @param retry true where the client says that it tries again
  * @param uri path and query, to go on unchanged
  * @param idempotencyKey the key of a keyed request, or null
  */
-record ProxyRequest(String id, int requestClass, int tenant, long timeLeftUs, long workUs, boolean retry,
-        HttpMethod method, String uri, String idempotencyKey, byte[] body) { }
+record ProxyRequest(String id, int requestClass, int tenant, long budgetUs, long workUs, boolean retry,
+        HttpMethod method, String uri, String idempotencyKey, RequestBody body) { }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -34,8 +34,10 @@
      */
     private static final long LEAVE_AHEAD_MS = 1_200;
     private static final long SWEEP_MS = 250;
-    /** What is left over after the longest deadline before the process ends whatever happens. */
-    private static final long END_SLACK_MS = 500;
+    /** How often a process that is to end looks whether all is done. */
+    private static final long DONE_CHECK_MS = 20;
+    /** The part of the configured memory that bodies on their way may take: most is the JVM's. */
+    private static final long BUDGET_PART = 36;
     /** Descriptors for the JVM's own files, the selector, the listeners, discovery and operators' calls. */
     private static final int OWN_DESCRIPTORS = 32 + Control.MOST_CALLERS;
     /** Part of the descriptors for connections to backends: requests take a third at most, and some idle. */
@@ -119,11 +121,12 @@
         if (config.control() != null && config.folder() != null) {
             succession = new Succession(config.folder(), log);
         }
-        pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
+        ByteBudget budget = new ByteBudget(config.memoryBytes() / BUDGET_PART);
+        pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
                 config.settings().limits().keepaliveUs(), 0);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
-        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, 0);
-        control = new Control(loop, log, () -> proxy.ready() && clients.ready(), proxy::figures);
+        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, budget, 0);
+        control = new Control(loop, log, clients::ready, proxy::figures);
         shareDescriptors();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -171,13 +174,21 @@
             }
             loop.schedule(() -> {
                 clients.sendAway();
-                clients.closeIdle();
-                proxy.whenIdle(this::end);
+                endOnceDone();
             }, leaveMs, TimeUnit.MILLISECONDS);
-            loop.schedule(this::end, longestDeadlineMs + END_SLACK_MS, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Ends when nothing is out any more; an answer that is long on its way may go on until SIGKILL. */
+    private void endOnceDone() {
+        clients.closeIdle();
+        if (proxy.unanswered() == 0 && !clients.receiving()) {
+            end();
+        } else {
+            loop.schedule(this::endOnceDone, DONE_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Reads the configuration again; of what stands there only the address of discovery may change. */
     void reload(Map<String, String> env) {
         InetSocketAddress discovery;
--- /dev/null
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -0,0 +1,134 @@
+package passhatch.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/**
+ * The body of a request, from its client's connection to a backend's. A short one is kept, so it may be sent
+ * more than once. A long one goes to one backend as it comes, and what has gone cannot be sent again.
+ */
+final class RequestBody {
+
+    /** A body of up to this size is kept. */
+    static final int MOST_KEPT = 1 << 16;
+    /** There is none longer than this. */
+    static final int MOST = 1 << 25;
+
+    private final EventLoop loop;
+    private final ByteBudget budget;
+    private final long declared;
+    private final Relay.Source source;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
+    private long size;
+    private boolean ended;
+    /** Its bytes have begun to go to a backend, or nobody wants them any more. */
+    private boolean spent;
+    private Relay relay;
+
+    /**
+     * A body of which nothing has come yet.
+     *
+     * @param declared its length as its head says, or -1
+     * @param source the client's connection
+     */
+    RequestBody(EventLoop loop, ByteBudget budget, long declared, Relay.Source source) {
+        this.loop = loop;
+        this.budget = budget;
+        this.declared = declared;
+        this.source = source;
+    }
+
+    /** The length that its head declares, or -1 where it tells none. */
+    long declared() {
+        return declared;
+    }
+
+    /** How much has come so far. */
+    long size() {
+        return size;
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Whether it is too long to be kept, as far as it has come. */
+    boolean isLong() {
+        return size > MOST_KEPT;
+    }
+
+    /** Whether a backend may still be sent all of it. */
+    boolean canBeSent() {
+        return !spent;
+    }
+
+    /** All of a short body, once it has ended. */
+    byte[] kept() {
+        return held.toByteArray();
+    }
+
+    /** Bytes that came from the client; they stay the caller's. */
+    void add(ByteBuf bytes) {
+        size += bytes.readableBytes();
+        if (relay != null) {
+            relay.pass(bytes.retain());
+        } else if (!spent) {
+            hold(bytes);
+        }
+    }
+
+    private void hold(ByteBuf bytes) {
+        budget.add(bytes.readableBytes());
+        try {
+            bytes.getBytes(bytes.readerIndex(), held, bytes.readableBytes());
+        } catch (IOException cannotBe) {
+            throw new IllegalStateException(cannotBe);
+        }
+        if (isLong()) {
+            source.read(false);
+        }
+    }
+
+    /** The client has sent all of it. */
+    void end() {
+        ended = true;
+        if (relay != null) {
+            relay.finish();
+        }
+    }
+
+    /** Sends a long body to a backend from its first byte on, after the head. */
+    void sendTo(Channel backend, Relay.Listener listener) {
+        spent = true;
+        relay = new Relay(loop, budget, source, backend, listener);
+        byte[] first = held.toByteArray();
+        budget.remove(first.length);
+        held.reset();
+        relay.pass(Unpooled.wrappedBuffer(first));
+        if (ended && relay != null) {
+            relay.finish();
+        }
+    }
+
+    /** The backend that it went to takes no more of it. */
+    void cut() {
+        if (relay != null) {
+            relay.stop();
+            relay = null;
+            source.read(true);
+        }
+    }
+
+    /** Nobody wants it any more; what still comes is dropped. */
+    void drop() {
+        spent = true;
+        cut();
+        budget.remove(held.size());
+        held.reset();
+        source.read(true);
+    }
+}
--- a/src/main/java/passhatch/proxy/RequestParser.java
+++ b/src/main/java/passhatch/proxy/RequestParser.java
@@ -1,9 +1,9 @@
 package passhatch.proxy;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
@@ -44,10 +44,14 @@
         this.tenants = config.tenants();
     }
 
-    /** Reads a request that has stood unread for some time already. */
-    ProxyRequest parse(FullHttpRequest http, long unreadUs) throws BadRequest {
+    /** Reads the head of a request. */
+    ProxyRequest parse(HttpRequest http, RequestBody body) throws BadRequest {
         if (http.decoderResult().isFailure()) {
-            throw bad("the request is not HTTP");
+            throw bad("the request is not HTTP: " + http.decoderResult().cause().getMessage());
+        }
+        String coding = String.join(",", http.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING));
+        if (!coding.isEmpty() && !coding.strip().equalsIgnoreCase("chunked")) {
+            throw bad("Transfer-Encoding is not chunked");
         }
         int kind = requestClass(http);
         HttpHeaders headers = http.headers();
@@ -56,13 +60,13 @@
             throw bad("X-Request-Id is missing or malformed");
         }
         long budgetUs = deadlineUs(headers.get("X-Deadline"), classes.get(kind).deadlineUs());
-        return new ProxyRequest(id, kind, tenant(headers.get("X-Tenant")), budgetUs - unreadUs,
+        return new ProxyRequest(id, kind, tenant(headers.get("X-Tenant")), budgetUs,
                 hintUs(headers.get("X-Cost-Hint")), "1".equals(headers.get("X-Retry")), http.method(),
-                http.uri(), headers.get("Idempotency-Key"), ByteBufUtil.getBytes(http.content()));
+                http.uri(), headers.get("Idempotency-Key"), body);
     }
 
     /** The first part of the path; its effect must be the one that the method promises the caller. */
-    private int requestClass(FullHttpRequest http) throws BadRequest {
+    private int requestClass(HttpRequest http) throws BadRequest {
         String path = new QueryStringDecoder(http.uri()).rawPath();
         int end = path.indexOf('/', 1);
         int kind = path.startsWith("/") ? classNames.indexOf(path.substring(1, end < 0 ? path.length() : end))
--- /dev/null
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -0,0 +1,352 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.proxy.Http.Message;
+
+/** Bodies of all lengths and forms, over loopback sockets. */
+@Timeout(60)
+final class BodiesTest {
+
+    private static final int LONG = 32_000_000;
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder).control();
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    private static byte[] random(int size) {
+        byte[] bytes = new byte[size];
+        new Random(size).nextBytes(bytes);
+        return bytes;
+    }
+
+    private static String post(String framing) {
+        return "POST /move/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n" + framing + "\r\n\r\n";
+    }
+
+    private Rig with(ScriptedServer.Script script) throws Exception {
+        ScriptedServer backend = rig.backend(script);
+        return rig.start(Rig.entry("s", backend.address(), "SERVING"));
+    }
+
+    private static void answer(Http connection, byte[] body) throws IOException {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
+        connection.write(body);
+    }
+
+    /** A client that does not read holds the backend up, and nothing piles up between them. */
+    @Test
+    void aLongAnswerWaitsForASlowClient() throws Exception {
+        byte[] body = random(LONG);
+        AtomicLong given = new AtomicLong();
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + LONG + "\r\n\r\n");
+            for (int at = 0; at < LONG; at += 16_000) {
+                connection.write(Arrays.copyOfRange(body, at, Math.min(LONG, at + 16_000)));
+                given.addAndGet(16_000);
+            }
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        long before = -1;
+        while (before != given.get() || before == 0) {
+            before = given.get();
+            Thread.sleep(300);
+        }
+        assertTrue(before < LONG, "all of it was taken from the backend");
+        rig.awaitFigure("inflight", 1);
+        assertArrayEquals(body, client.read().body());
+        rig.awaitFigure("success{tier=\"board\"}", 1);
+        assertEquals(0, rig.figure("inflight"));
+    }
+
+    @Test
+    void manyLongAnswersAtOnceComeWhole() throws Exception {
+        byte[] body = random(4_000_000);
+        with((connection, request) -> answer(connection, body));
+        Http[] clients = new Http[20];
+        for (int i = 0; i < clients.length; i++) {
+            clients[i] = rig.client();
+            clients[i].write(Rig.get("r" + i, ""));
+        }
+        for (Http client : clients) {
+            assertArrayEquals(body, client.read().body());
+        }
+    }
+
+    @Test
+    void aLongRequestGoesOnAsItComes() throws Exception {
+        byte[] body = random(LONG);
+        CountDownLatch first = new CountDownLatch(1);
+        BlockingQueue<byte[]> got = new LinkedBlockingQueue<>();
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            got.add(request.body());
+            connection.answer("200 OK", "done");
+        });
+        backend.onHead(first::countDown);
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(post("Content-Length: " + LONG));
+        client.write(Arrays.copyOf(body, 100_000));
+        assertTrue(first.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS), "held back until it is whole");
+        assertEquals(0, rig.figure("inflight"), "not taken before its last byte");
+        client.write(Arrays.copyOfRange(body, 100_000, LONG));
+        assertEquals("done", client.read().text());
+        assertArrayEquals(body, got.take());
+        assertEquals(1, rig.figure("backend_calls"));
+        client.write(Rig.get("next", ""));
+        assertEquals("done", client.read().text());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {5, 200_000})
+    void aChunkedRequestWithTrailersAndAnExpectationIsServed(int size) throws Exception {
+        byte[] body = random(size);
+        BlockingQueue<byte[]> got = new LinkedBlockingQueue<>();
+        with((connection, request) -> {
+            got.add(request.body());
+            connection.answer("200 OK", "done");
+        });
+        Http client = rig.client();
+        client.write(post("Transfer-Encoding: chunked\r\nExpect: 100-continue"));
+        assertEquals(100, client.read().status());
+        for (int at = 0; at < size; at += 50_000) {
+            byte[] chunk = Arrays.copyOfRange(body, at, Math.min(size, at + 50_000));
+            client.write(Integer.toHexString(chunk.length) + ";x=y\r\n");
+            client.write(chunk);
+            client.write("\r\n");
+        }
+        client.write("0\r\nX-Sum: 7\r\n\r\n");
+        assertEquals("done", client.read().text());
+        assertArrayEquals(body, got.take());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "Content-Length: -3\r\n\r\n",
+        "Content-Length: 3x\r\n\r\nabc",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+    })
+    void framingThatIsMalformedIsRefusedAndTheConnectionClosed(String framing) throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write("POST /move/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n" + framing);
+        assertEquals(400, client.read().status());
+        assertNull(client.read());
+        assertTrue(backend.received.isEmpty());
+    }
+
+    /** The attempt is given up, as nobody knows where the request ends. */
+    @Test
+    void aChunkThatIsMalformedAfterALongStartEndsTheAttempt() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        backend.onHead(first::countDown);
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(post("Transfer-Encoding: chunked"));
+        client.write("18000\r\n" + "x".repeat(0x18000) + "\r\n");
+        first.await();
+        client.write("nonsense\r\n");
+        assertEquals(400, client.read().status());
+        backend.awaitEnded();
+        assertTrue(backend.received.isEmpty());
+        assertEquals(0, rig.figure("backend_calls"));
+        assertEquals(0, rig.figure("inflight"));
+    }
+
+    @Test
+    void aClientThatBreaksOffInALongRequestEndsTheAttempt() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        backend.onHead(first::countDown);
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(post("Content-Length: 900000"));
+        client.write(random(300_000));
+        first.await();
+        client.reset();
+        backend.awaitEnded();
+        assertTrue(backend.received.isEmpty());
+        assertEquals(0, rig.figure("backend_calls"));
+    }
+
+    /** What has gone out is not kept, so a repeat would not be the same request. */
+    @Test
+    void aLongRequestIsNotSentAgainThoughItsClassMayRepeat() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.reset());
+        ScriptedServer other = rig.backend((connection, request) -> connection.reset());
+        rig.start(Rig.entry("s", backend.address(), "SERVING"), Rig.entry("t", other.address(), "SERVING"));
+        Http client = rig.client();
+        client.write("POST /buy/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\nIdempotency-Key: k\r\n"
+                + "Content-Length: 200000\r\n\r\n");
+        client.write(random(200_000));
+        assertEquals(503, client.read().status());
+        assertEquals(1, backend.received.size() + other.received.size());
+    }
+
+    /** A backend that is full says so before it has read all. */
+    @Test
+    void anAnswerThatComesBeforeTheRequestIsWholeIsPassedOn() throws Exception {
+        ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
+        backend.answerAtHead("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(post("Content-Length: 5000000"));
+        client.write(random(100_000));
+        assertEquals(503, client.read().status());
+        client.write(random(4_900_000));
+        client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+        assertEquals(200, client.read().status(), "the rest of the body is read and dropped");
+        assertEquals(0, rig.figure("backend_calls"));
+    }
+
+    @Test
+    void anAnswerThatBreaksOffIsSeenToBeCutOffAndCountsAsFailed() throws Exception {
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n");
+            connection.write(random(200_000));
+            connection.close();
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        assertThrows(EOFException.class, client::read);
+        rig.awaitFigure("failure{tier=\"board\"}", 1);
+        assertEquals(0, rig.figure("inflight"));
+        assertEquals(1, rig.figure("backend_calls"));
+    }
+
+    @Test
+    void aClientThatLeavesInALongAnswerEndsTheAttempt() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> answer(connection, random(LONG)));
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        rig.awaitFigure("inflight", 1);
+        client.reset();
+        backend.awaitEnded();
+        rig.awaitFigure("inflight", 0);
+        assertEquals(0, rig.figure("success{tier=\"board\"}"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 300_000})
+    void anAnswerThatEndsByACloseOrInChunksComesWhole(int size) throws Exception {
+        byte[] body = random(size);
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n");
+            if (request.header("X-Request-Id").equals("close")) {
+                connection.write("HTTP/1.1 200 OK\r\n\r\n");
+                connection.write(body);
+                connection.close();
+            } else {
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(size) + "\r\n");
+                connection.write(body);
+                connection.write("\r\n0\r\nX-Sum: 7\r\n\r\n");
+            }
+        });
+        Http client = rig.client();
+        for (String form : new String[] {"close", "chunks"}) {
+            client.write(Rig.get(form, ""));
+            assertArrayEquals(body, client.read().body());
+        }
+    }
+
+    /** It may go on for long, so it is not held until it is whole. */
+    @Test
+    void anAnswerOfUnknownLengthThatTricklesIsPassedOnMeanwhile() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+            seen.await();
+            connection.write("1\r\nb\r\n0\r\n\r\n");
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        StringBuilder start = new StringBuilder();
+        while (!start.toString().endsWith("\r\na\r\n")) {
+            start.append((char) client.socket.getInputStream().read());
+        }
+        seen.countDown();
+        byte[] rest = "1\r\nb\r\n0\r\n\r\n".getBytes(StandardCharsets.UTF_8);
+        assertArrayEquals(rest, client.socket.getInputStream().readNBytes(rest.length));
+    }
+
+    @Test
+    void longAnswersToPipelinedRequestsKeepTheirOrder() throws Exception {
+        with((connection, request) -> {
+            if (request.header("X-Request-Id").equals("a")) {
+                Thread.sleep(300);
+            }
+            answer(connection, random(request.header("X-Request-Id").equals("a") ? 200_001 : 200_002));
+        });
+        Http client = rig.client();
+        client.write(Rig.get("a", "") + Rig.get("b", ""));
+        assertArrayEquals(random(200_001), client.read().body());
+        assertArrayEquals(random(200_002), client.read().body());
+    }
+
+    /** A slow client has 2 s for its head; single bytes are as good as whole lines. */
+    @Test
+    void aHeadThatTakesTwoSecondsIsTaken() throws Exception {
+        with((connection, request) -> connection.answer("200 OK", "x"));
+        Http client = rig.client();
+        String head = Rig.get("r", "");
+        for (int i = 0; i < head.length(); i++) {
+            client.write(head.substring(i, i + 1));
+            Thread.sleep(2_000 / head.length());
+        }
+        Message answer = client.read();
+        assertEquals("x", answer.text());
+    }
+
+    /** Slower than 64 kB a second in a body of 1 s at that speed: it is let go, not waited for. */
+    @Test
+    void aBodyThatStandsStillIsLetGo() throws Exception {
+        with((connection, request) -> connection.answer("200 OK", "x"));
+        Http client = rig.client();
+        client.write(post("Content-Length: 900000"));
+        client.write(new byte[1_000]);
+        long start = System.nanoTime();
+        assertNull(client.read());
+        assertTrue(System.nanoTime() - start < 3_000_000_000L);
+    }
+}
--- a/src/test/java/passhatch/proxy/Http.java
+++ b/src/test/java/passhatch/proxy/Http.java
@@ -33,7 +33,13 @@
         }
     }
 
+    /** Something to do when the head of a message has been read. */
+    interface HeadListener {
+        void headIn() throws IOException;
+    }
+
     final Socket socket;
+    private HeadListener onHead = () -> { };
     private final InputStream in;
 
     Http(Socket socket) throws IOException {
@@ -60,6 +66,10 @@
         write("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
+    void onHead(HeadListener then) {
+        onHead = then;
+    }
+
     /** Reads one message with its body; null at the end of the connection. */
     Message read() throws IOException {
         String start = line();
@@ -68,8 +78,11 @@
         }
         Map<String, String> headers = new TreeMap<>();
         for (String line = line(); line != null && !line.isEmpty(); line = line()) {
-            int colon = line.indexOf(':');
-            headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+            put(headers, line);
+        }
+        onHead.headIn();
+        if ("chunked".equals(headers.get("transfer-encoding"))) {
+            return new Message(start, headers, chunks(headers));
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = in.readNBytes(length);
@@ -79,6 +92,32 @@
         return new Message(start, headers, body);
     }
 
+    private static void put(Map<String, String> headers, String line) {
+        int colon = line.indexOf(':');
+        headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+    }
+
+    /** Trailers are added to the headers. */
+    private byte[] chunks(Map<String, String> headers) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (int size = chunkSize(); size > 0; size = chunkSize()) {
+            body.write(in.readNBytes(size));
+            line();
+        }
+        for (String line = line(); line != null && !line.isEmpty(); line = line()) {
+            put(headers, line);
+        }
+        return body.toByteArray();
+    }
+
+    private int chunkSize() throws IOException {
+        String line = line();
+        if (line == null) {
+            throw new EOFException("the chunks are cut off");
+        }
+        return Integer.parseInt(line, 16);
+    }
+
     /** All that still comes, up to the end of the connection. */
     String rest() throws IOException {
         return new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- /dev/null
+++ b/src/test/java/passhatch/proxy/RelayTest.java
@@ -0,0 +1,118 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** When the source of a body has to wait. */
+final class RelayTest {
+
+    /** Stands for a peer: takes writes, and ends them when the test says so. */
+    private static final class Peer extends ChannelOutboundHandlerAdapter {
+        final ArrayDeque<ChannelPromise> writes = new ArrayDeque<>();
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            writes.add(promise);
+        }
+    }
+
+    private final ByteBudget budget = new ByteBudget(1_000);
+    private final Peer peer = new Peer();
+    private final EmbeddedChannel channel = new EmbeddedChannel(peer);
+    private boolean reads = true;
+    private String heard = "";
+
+    private Relay relay(EmbeddedChannel to) {
+        to.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(10, 1 << 20));
+        return new Relay(to.eventLoop(), budget, on -> reads = on, to, new Relay.Listener() {
+            @Override
+            public void passed() {
+                heard += "passed";
+            }
+
+            @Override
+            public void broken() {
+                heard += "broken";
+            }
+        });
+    }
+
+    private static ByteBuf bytes(int size) {
+        return Unpooled.wrappedBuffer(new byte[size]);
+    }
+
+    @Test
+    void theSourceWaitsWhileTooMuchIsHeldAndSomeOfItIsItsOwn() {
+        Relay relay = relay(channel);
+        relay.pass(bytes(600));
+        assertTrue(reads);
+        relay.pass(bytes(600));
+        assertFalse(reads, "1200 of 1000 are held");
+        peer.writes.poll().setSuccess();
+        assertTrue(reads);
+        assertEquals(600, budget.held());
+    }
+
+    /** Else those that hold much could stop all the others, and wait for them in turn. */
+    @Test
+    void aSourceWithNothingOnItsWayIsReadThoughOthersHoldTooMuch() {
+        budget.add(5_000);
+        Relay relay = relay(channel);
+        relay.pass(bytes(1));
+        assertFalse(reads);
+        peer.writes.poll().setSuccess();
+        assertTrue(reads);
+    }
+
+    @Test
+    void endsOnceAndGivesBackWhatItHeld() {
+        Relay relay = relay(channel);
+        relay.pass(bytes(10));
+        relay.finish();
+        assertEquals("", heard);
+        peer.writes.poll().setSuccess();
+        peer.writes.poll().setSuccess();
+        relay.finish();
+        assertEquals("passed", heard);
+        assertEquals(0, budget.held());
+    }
+
+    @Test
+    void aWriteThatFailsBreaksIt() {
+        Relay relay = relay(channel);
+        relay.pass(bytes(10));
+        peer.writes.poll().setFailure(new java.io.IOException("gone"));
+        relay.pass(bytes(10));
+        assertEquals("broken", heard);
+        assertEquals(0, budget.held());
+    }
+
+    @Test
+    void oneThatDoesNotMoveForLongIsBroken() {
+        EmbeddedChannel slow = new EmbeddedChannel(new Peer());
+        slow.freezeTime();
+        Relay relay = relay(slow);
+        relay.pass(bytes(10));
+        slow.advanceTimeBy(40, TimeUnit.SECONDS);
+        slow.runScheduledPendingTasks();
+        assertEquals("", heard, "it moved within the first 30 s");
+        slow.advanceTimeBy(40, TimeUnit.SECONDS);
+        slow.runScheduledPendingTasks();
+        assertEquals("broken", heard);
+    }
+}
--- a/src/test/java/passhatch/proxy/ScriptedServer.java
+++ b/src/test/java/passhatch/proxy/ScriptedServer.java
@@ -27,6 +27,8 @@
     final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket listener;
     private final Script script;
+    private volatile Runnable onHead = () -> { };
+    private volatile String atHead;
 
     ScriptedServer(Script script) throws IOException {
         this.script = script;
@@ -59,6 +61,23 @@
         }
     }
 
+    /** Has this run as soon as the head of a request is in. */
+    void onHead(Runnable then) {
+        onHead = then;
+    }
+
+    /** Answers so at the head of a request, before its body is read. */
+    void answerAtHead(String answer) {
+        atHead = answer;
+    }
+
+    private void headIn(Http connection) throws IOException {
+        onHead.run();
+        if (atHead != null) {
+            connection.write(atHead);
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -73,6 +92,7 @@
 
     private void serve(Http connection) {
         try {
+            connection.onHead(() -> headIn(connection));
             for (Message m = connection.read(); m != null; m = connection.read()) {
                 received.add(m);
                 script.handle(connection, m);
