Share descriptors in a crowd, keep no client in it, let the silent go first

Temporary lines on the table showed 60 of 72 connections served and idle, so those that were writing had to share the rest and lasted half a second; 74 descriptors were kept for backends that used 20.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -29,9 +29,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -102,26 +100,25 @@
     private final EventLog log;
     private final ByteBudget budget;
     private final long idleUs;
-    private int mostOpen;
+    private final Descriptors descriptors;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
-    private final Set<Connection> open = new HashSet<>();
 
     /**
      * A pool without connections.
      *
      * @param budget of the bytes that it passes on
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
-     * @param mostOpen connections at a time, so that descriptors are left for the callers
+     * @param descriptors shared with the callers' side
      */
     BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
-            long keepaliveUs, int mostOpen) {
+            long keepaliveUs, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.budget = budget;
         this.idleUs = (long) (keepaliveUs * IDLE_PART);
-        this.mostOpen = mostOpen;
+        this.descriptors = descriptors;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
@@ -130,11 +127,6 @@
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
 
-    /** How many connections it may hold from now on. */
-    void limit(int most) {
-        mostOpen = most;
-    }
-
     /** Closes connections that backends might soon close themselves; to be called now and then. */
     void closeStale() {
         long before = clock.nowUs() - idleUs;
@@ -158,11 +150,11 @@
     Handle send(InetSocketAddress address, Outgoing outgoing, Listener listener) {
         Call call = new Call(outgoing, listener);
         Connection kept = takeIdle(address);
-        if (kept == null && open.size() >= mostOpen) {
+        if (kept == null && descriptors.backendsFull()) {
             closeLongestIdle();
         }
-        if (kept == null && open.size() >= mostOpen) {
-            log.line("no connection left for " + address + ": " + open.size() + " are open");
+        if (kept == null && descriptors.backendsFull()) {
+            log.line("no connection left for " + address + ": " + descriptors.backends() + " are open");
             loop.execute(() -> call.end(Result.without(Outcome.NOT_SENT)));
             return call;
         }
@@ -192,17 +184,14 @@
     /** Makes room for one to another backend. */
     private void closeLongestIdle() {
         idle.values().stream().filter(at -> !at.isEmpty()).map(Deque::peekLast)
-                .min(Comparator.comparingLong(c -> c.idleSinceUs)).ifPresent(c -> {
-                    open.remove(c);
-                    c.channel.close();
-                });
+                .min(Comparator.comparingLong(c -> c.idleSinceUs)).ifPresent(c -> c.channel.close());
     }
 
     private void connect(InetSocketAddress address, Call call) {
         Connection c = new Connection(address);
         c.call = call;
         call.connection = c;
-        open.add(c);
+        descriptors.backend(1);
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -218,7 +207,7 @@
                 c.broken();
             }
         }));
-        c.channel.closeFuture().addListener(closed -> open.remove(c));
+        c.channel.closeFuture().addListener(closed -> descriptors.backend(-1));
     }
 
     /** One call, from its start to its only result. */
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -50,6 +50,7 @@
     private Future<?> patience;
     /** Bytes of a request have come, and not all of it. */
     private boolean started;
+    private long idleSinceUs;
     private long awaitedSinceUs;
     private long bodySinceUs;
     private long bodyBytes;
@@ -69,6 +70,15 @@
         return started;
     }
 
+    /** It has been without a request since then. */
+    void idleSince(long us) {
+        idleSinceUs = us;
+    }
+
+    long idleSince() {
+        return idleSinceUs;
+    }
+
     void close() {
         channel.close();
     }
@@ -308,7 +318,10 @@
     }
 
     private void turnDown(Turn turn, RequestParser.BadRequest bad) {
-        server.log().line("request refused with " + bad.status() + ": " + bad.getMessage());
+        if (channel.isActive()) {
+            // Else it is only cut off, as its peer has left or was let go.
+            server.log().line("request refused with " + bad.status() + ": " + bad.getMessage());
+        }
         leaving = true;
         endPatience();
         receiving = null;
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -18,9 +18,9 @@
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** The callers' side: takes requests over HTTP and gives each its one answer. */
 final class ClientServer {
@@ -34,6 +34,8 @@
     private static final long BEAT_US = 10_000;
     /** Time between two lines on clients let go: there may be hundreds a second. */
     private static final long SAY_AGAIN_US = 10_000_000;
+    /** A connection may be closed once it had no open request for this long. */
+    private static final long IDLE_US = 2_000_000;
     /** Lateness of a beat that says nothing: timers fire up to a millisecond or two late. */
     private static final long BEAT_SLACK_US = 2_000;
 
@@ -43,12 +45,11 @@
     private final RequestParser parser;
     private final ProxyLoop proxy;
     private final ByteBudget budget;
-    private int mostOpen;
-    /** Connections with no request out, the longest idle first. */
+    private final Descriptors descriptors;
+    /** Connections that were served and have no request out, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
-    /** Those of them that have never sent a whole request, the longest silent first. */
+    /** Those that have never sent a whole request, the longest silent first. */
     private final Set<ClientConnection> strangers = new LinkedHashSet<>();
-    private int open;
     private int letGo;
     private long sayAgainUs = Long.MIN_VALUE;
     private Channel listener;
@@ -61,17 +62,17 @@
      * A server that does not listen yet.
      *
      * @param budget of the bytes of bodies that are held
-     * @param mostOpen connections held at a time; the longest idle is closed for one more
+     * @param descriptors shared with the backends' side; where there are too few, some connection is closed
      */
     ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
-            ByteBudget budget, int mostOpen) {
+            ByteBudget budget, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.parser = parser;
         this.proxy = proxy;
         this.budget = budget;
-        this.mostOpen = mostOpen;
+        this.descriptors = descriptors;
         this.nextBeatUs = clock.nowUs();
         beat();
     }
@@ -101,11 +102,6 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** How many connections it may hold from now on; those beyond go as new ones come. */
-    void limit(int most) {
-        mostOpen = most;
-    }
-
     /** Whether requests should come here: the list is known, and connections are taken. */
     boolean ready() {
         return listener != null && listener.isActive() && !unready && proxy.ready();
@@ -121,8 +117,9 @@
         draining = true;
     }
 
+    /** Whether no client is kept for a next request: this process ends, or others wait for room. */
     boolean sendsAway() {
-        return draining;
+        return draining || descriptors.crowded();
     }
 
     /** Takes no more connections; those open are served on. */
@@ -132,12 +129,16 @@
 
     /** Closes the connections on which nothing is out, as clients expect between requests. */
     void closeIdle() {
-        List.copyOf(idle).stream().filter(c -> !c.started()).forEach(ClientConnection::close);
+        unused().filter(c -> !c.started()).toList().forEach(ClientConnection::close);
     }
 
     /** Whether a request has begun to come in on any connection, and is not whole. */
     boolean receiving() {
-        return idle.stream().anyMatch(ClientConnection::started);
+        return unused().anyMatch(ClientConnection::started);
+    }
+
+    private Stream<ClientConnection> unused() {
+        return Stream.concat(idle.stream(), strangers.stream());
     }
 
     // ---- for the connections
@@ -165,10 +166,9 @@
     }
 
     void arrived(ClientConnection c) {
-        open++;
-        idle.add(c);
+        descriptors.client(1);
         strangers.add(c);
-        if (open > mostOpen) {
+        if (descriptors.over()) {
             letOneGo(c);
         }
     }
@@ -188,25 +188,29 @@
 
     /** All that it asked for is answered. */
     void idle(ClientConnection c) {
+        c.idleSince(clock.nowUs());
         idle.add(c);
     }
 
     void left(ClientConnection c) {
-        if (idle.remove(c)) {
-            strangers.remove(c);
-        }
-        open--;
+        busy(c);
+        descriptors.client(-1);
     }
 
-    /** A client that was served before comes after those that may never send anything. */
+    /**
+     * Clients know that a connection may be closed once it has been idle for a while. A client that was served
+     * just now comes after those that may never send anything.
+     */
     private void letOneGo(ClientConnection newcomer) {
         letGo++;
         if (clock.nowUs() >= sayAgainUs) {
             sayAgainUs = clock.nowUs() + SAY_AGAIN_US;
-            log.line(open + " clients are connected, too many: " + letGo + " let go so far");
+            log.line(descriptors.clients() + " clients are connected, too many: " + letGo + " let go so far");
         }
-        ClientConnection goes = strangers.size() > 1 ? strangers.iterator().next()
-                : idle.size() > 1 ? idle.iterator().next() : newcomer;
+        ClientConnection longestIdle = idle.isEmpty() ? null : idle.iterator().next();
+        ClientConnection goes = longestIdle != null
+                && (strangers.size() <= 1 || longestIdle.idleSince() <= clock.nowUs() - IDLE_US) ? longestIdle
+                : strangers.size() > 1 ? strangers.iterator().next() : newcomer;
         // The news of its end comes in a later step of the loop; until then it must not be chosen again.
         busy(goes);
         goes.close();
--- /dev/null
+++ b/src/main/java/passhatch/proxy/Descriptors.java
@@ -0,0 +1,56 @@
+package passhatch.proxy;
+
+/**
+ * How the descriptors of this process are shared out between clients and backends. Connections to backends are
+ * only as many as requests that are out and some that idle; all others are the clients', as thousands may come
+ * and only a part of them ever sends a request.
+ */
+final class Descriptors {
+
+    /** For the JVM's own files, the selector, the listeners, discovery and operators' calls. */
+    private static final int OWN = 24 + Control.MOST_CALLERS;
+    /** The part for connections to backends: requests take a third at most, and some idle. */
+    private static final double BACKEND_PART = 0.375;
+    /** Above this part of its connections a crowd is about. */
+    private static final double CROWDED_PART = 0.75;
+
+    private int limit;
+    private int clients;
+    private int backends;
+
+    /** How many this process may hold from now on; those beyond go as new ones come. */
+    void limit(int most) {
+        limit = most;
+    }
+
+    void client(int change) {
+        clients += change;
+    }
+
+    void backend(int change) {
+        backends += change;
+    }
+
+    int clients() {
+        return clients;
+    }
+
+    int backends() {
+        return backends;
+    }
+
+    /** Whether one more connection to a backend needs another closed first. */
+    boolean backendsFull() {
+        return backends >= (int) (limit * BACKEND_PART);
+    }
+
+    /** Whether more are held than may be. */
+    boolean over() {
+        return clients + backends > limit - OWN;
+    }
+
+    /** Whether room gets scarce, so that no connection should stay without need. */
+    boolean crowded() {
+        return clients + backends > (limit - OWN) * CROWDED_PART;
+    }
+}
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -38,10 +38,6 @@
     private static final long DONE_CHECK_MS = 20;
     /** The part of the configured memory that bodies on their way may take: most is the JVM's. */
     private static final long BUDGET_PART = 36;
-    /** Descriptors for the JVM's own files, the selector, the listeners, discovery and operators' calls. */
-    private static final int OWN_DESCRIPTORS = 32 + Control.MOST_CALLERS;
-    /** Part of the descriptors for connections to backends: requests take a third at most, and some idle. */
-    private static final double BACKEND_PART = 0.375;
 
     /** Makes the decision module. */
     interface Module {
@@ -54,6 +50,7 @@
     private final long longestDeadlineMs;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final int sockets;
+    private final Descriptors descriptors = new Descriptors();
     private ProxyLoop proxy;
     private ClientServer clients;
     private BackendPool pool;
@@ -123,9 +120,10 @@
         }
         ByteBudget budget = new ByteBudget(config.memoryBytes() / BUDGET_PART);
         pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), 0);
+                config.settings().limits().keepaliveUs(), descriptors);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
-        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, budget, 0);
+        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, budget,
+                descriptors);
         control = new Control(loop, log, clients::ready, proxy::figures);
         shareDescriptors();
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -138,10 +136,7 @@
 
     /** The limit holds for all processes of this proxy together, and at a change of version there are two. */
     private void shareDescriptors() {
-        int all = succession != null && succession.twoRun() ? sockets / 2 : sockets;
-        int backends = (int) (all * BACKEND_PART);
-        pool.limit(backends);
-        clients.limit(all - OWN_DESCRIPTORS - backends);
+        descriptors.limit(succession != null && succession.twoRun() ? sockets / 2 : sockets);
     }
 
     InetSocketAddress address() {
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -42,17 +42,20 @@
             NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final Descriptors descriptors = new Descriptors();
     private final ByteBudget budget = new ByteBudget(1 << 20);
     private BackendPool pool;
 
     @BeforeEach
     void setUp() {
+        // Room for two connections to backends.
+        descriptors.limit(6);
         pool = pool(10_000_000);
     }
 
     private BackendPool pool(long keepaliveUs) {
         return new BackendPool(loop, new Clock(), new EventLog(System.err), budget, 10_000_000,
-                keepaliveUs, 2);
+                keepaliveUs, descriptors);
     }
 
     @AfterEach
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -159,7 +159,7 @@
         Http client = rig.client();
         client.write(Rig.get("a", ""));
         assertEquals("x", client.read().text());
-        for (int i = 0; i < 200; i++) {
+        for (int i = 0; i < 300; i++) {
             rig.client();
         }
         rig.awaitLog("clients are connected");
@@ -167,6 +167,42 @@
         assertEquals("x", client.read().text());
     }
 
+    /** Each of them would hold a descriptor that another needs. */
+    @Test
+    void inACrowdNoClientIsKeptForANextRequest() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.start(up("s", backend));
+        Http client = rig.client();
+        client.write(Rig.get("a", ""));
+        assertNull(client.read().header("Connection"));
+        for (int i = 0; i < 180; i++) {
+            rig.client();
+        }
+        // Answered after those that came before it were taken.
+        assertEquals(200, rig.call("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status());
+        client.write(Rig.get("b", ""));
+        assertEquals("close", client.read().header("Connection"));
+    }
+
+    /** Slow clients write a head for 2 s: silence counts, not age, when one has to go. */
+    @Test
+    void aSlowHeadStaysWhileThousandsComeAndSayNothing() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.start(up("s", backend));
+        Http slow = rig.client();
+        String head = Rig.get("slow", "");
+        for (int i = 0; i < head.length(); i++) {
+            slow.write(head.substring(i, i + 1));
+            for (int n = 0; n < 30; n++) {
+                rig.client().close();
+                rig.client();
+            }
+            assertEquals(200, rig.call("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status());
+        }
+        rig.awaitLog("clients are connected");
+        assertEquals("x", slow.read().text());
+    }
+
     @Test
     void aClientThatIsIdleOrWaitsForItsAnswerIsNotLetGo() throws Exception {
         ScriptedServer backend = rig.backend((connection, request) -> {
