--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -28,4 +28,4 @@
 
 exec java -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xshare:auto $archive -Xms24m -Xmx${heap}m \
     -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -XX:MaxDirectMemorySize=${direct}m \
-    -jar target/passhatch.jar serve
+    -Dio.netty.jfr.enabled=false -jar target/passhatch.jar serve
