Give a silent watch up after 3 s, and come back at random times

Seen in the code: a stalled watch was given up after 7 s, though what it has to tell counts as told after 6 s, and all proxies came back after the same pauses. A call that has no answer yet keeps its 7 s, as discovery answers in turn and may take 3 s. The test hears of a drain on the second watch within 5 s.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -28,6 +28,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,8 +39,13 @@
 
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 2_000;
-    /** An empty line comes every 2 s, so a watch silent for longer than three of these is dead. */
-    private static final long SILENCE_MS = 7_000;
+    /**
+     * An empty line comes every 2 s, and what there is to tell counts as told after 6 s: a watch that is
+     * silent for longer than one of these is given up while there is time to ask once more.
+     */
+    private static final long SILENCE_MS = 3_000;
+    /** Calls wait in turn and may do so for 3 s: asking again sooner would only make the queue longer. */
+    private static final long ANSWER_WITHIN_MS = 7_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** A line longer than this is no list of backends. */
     private static final int LONGEST_LINE = 1 << 22;
@@ -57,6 +63,7 @@
     private final ProxyConfig config;
     private final boolean onRequest;
     private final Listener listener;
+    private final SplittableRandom random;
     private long index;
     private boolean whole;
     private long pauseMs = FIRST_PAUSE_MS;
@@ -73,6 +80,7 @@
         this.listener = listener;
         this.onRequest = config.settings().watch();
         this.address = config.discovery();
+        this.random = new SplittableRandom(config.seed());
         this.index = config.known().index();
         this.whole = index == 0;
     }
@@ -104,7 +112,7 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new HttpClientCodec(),
-                                new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), watch);
+                                new ReadTimeoutHandler(ANSWER_WITHIN_MS, TimeUnit.MILLISECONDS), watch);
                     }
                 });
         ChannelFuture connecting = bootstrap.connect(address);
@@ -144,7 +152,8 @@
             listener.failed();
             return;
         }
-        loop.schedule(this::watch, pauseMs, TimeUnit.MILLISECONDS);
+        // Watches of all proxies end together: they must not all come back in the same moment.
+        loop.schedule(this::watch, (long) (pauseMs * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
@@ -175,6 +184,10 @@
                     return;
                 }
             }
+            if (ok && message instanceof HttpResponse) {
+                ctx.pipeline().replace(ReadTimeoutHandler.class, null,
+                        new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
+            }
             if (ok && message instanceof HttpContent content) {
                 split(content.content());
                 if (message instanceof LastHttpContent) {
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -106,6 +106,34 @@
         }
     }
 
+    /** The old watch stays open and says nothing more: what drains meanwhile is heard on another. */
+    @Test
+    void aWatchThatStallsIsGivenUpAndTheLastListServesMeanwhile() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer next = rig.backend((connection, request) -> connection.answer("200 OK", "next"));
+        rig.start(up("s", backend));
+        rig.discovery().next();
+        long start = System.nanoTime();
+        while (rig.discovery().received.isEmpty()) {
+            assertEquals("x", rig.call(Rig.get("r" + System.nanoTime(), "")).text());
+            Thread.sleep(20);
+        }
+        assertTrue(System.nanoTime() - start < 5_000_000_000L, "too late to hear in time");
+        assertTrue(rig.discovery().next().start().contains("watch=1&from=8"));
+        String text = "x";
+        for (int i = 0; !text.equals("next"); i++) {
+            // The stalled watch may still take one of them.
+            rig.lines.add(Rig.list(9, false, Rig.entry("s", backend.address(), "DRAINING"), up("t", next)));
+            text = rig.call(Rig.get("s" + i, "")).text();
+            Thread.sleep(5);
+        }
+        int served = backend.received.size();
+        for (int i = 0; i < 5; i++) {
+            assertEquals("next", rig.call(Rig.get("t" + i, "")).text());
+        }
+        assertEquals(served, backend.received.size(), "sent to a backend that drains");
+    }
+
     /** A malformed head leaves no place to read on from. */
     @Test
     void whatIsNotHttpIsTurnedDownAndTheConnectionClosed() throws Exception {
