--- a/src/main/java/passhatch/CallTimes.java
+++ b/src/main/java/passhatch/CallTimes.java
@@ -73,6 +73,11 @@
         s.ahead += attempt.ahead - s.ahead * MEAN_WEIGHT;
     }
 
+    /** Whether there were enough answers to tell what a call takes without a crowd. */
+    boolean known() {
+        return answers >= ENOUGH;
+    }
+
     /** Time for each call in flight at its server, over all servers; 0 while unknown. */
     double callUs() {
         return callUs;
@@ -100,6 +105,6 @@
 
     /** What a call of this class takes while servers are calm; 0 while unknown. */
     double ownUs(int kind) {
-        return answers < ENOUGH ? 0 : calmUs * length(kind);
+        return !known() ? 0 : calmUs * length(kind);
     }
 }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -1,5 +1,7 @@
 package passhatch;
 
+import static passhatch.CallTimes.MEAN_WEIGHT;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -91,8 +93,6 @@
     private static final int LEAST_TOLD = 24;
     /** At most one line for the operator in this time: trouble comes in crowds. */
     private static final long SAY_AGAIN_US = 10_000_000;
-    /** Weight of the newest value in a running mean. */
-    private static final double MEAN_WEIGHT = CallTimes.MEAN_WEIGHT;
 
     /** Which servers are looked for: all, those known to be idle, those of which nothing is known. */
     private enum Wanted { ANY, FOUND_IDLE, UNKNOWN }
@@ -507,8 +507,17 @@
         double expectedUs = expectedUs(nowUs, call, s);
         // What it takes without a crowd is no waiting: in a chain it may well be a third of the aim.
         double ownUs = Math.min(times.ownUs(call.request.requestClass()), expectedUs);
-        return idle || expectedUs - ownUs <= (timeUs - ownUs) * CROWD
-                && !crowded(nowUs, call, s, expectedUs);
+        return idle || few(nowUs, s) && !times.known()
+                || expectedUs - ownUs <= (timeUs - ownUs) * CROWD && !crowded(nowUs, call, s, expectedUs);
+    }
+
+    /**
+     * Whether no more calls are there than a server may always have. Until enough answers tell own time from
+     * a crowd, these go out whatever the first took: a copy that starts under full load learns too late else.
+     */
+    private boolean few(long nowUs, Backend s) {
+        double sharers = Math.max(1, (double) settings.copies() * circle(nowUs) / servers.size());
+        return load(nowUs, s) * sharers < JOINT_CALLS;
     }
 
     /**
@@ -520,9 +529,7 @@
      * each server.
      */
     private boolean crowded(long nowUs, Call call, Backend s, double expectedUs) {
-        double sharers = Math.max(1, (double) settings.copies() * circle(nowUs) / servers.size());
-        return load(nowUs, s) * sharers >= JOINT_CALLS
-                && times.meanUs() > times.calmUs() * TENSE
+        return !few(nowUs, s) && times.meanUs() > times.calmUs() * TENSE
                 && expectedUs > times.calmUs() * length(call) * CALM;
     }
 
@@ -914,11 +921,8 @@
 
     @Override
     public int hostsDown(long nowUs) {
-        int down = draining.size();
-        for (Backend s : servers) {
-            down += s.restUntilUs > nowUs || s.demotedUntilUs > nowUs ? 1 : 0;
-        }
-        return down;
+        return draining.size() + (int) servers.stream()
+                .filter(s -> s.restUntilUs > nowUs || s.demotedUntilUs > nowUs).count();
     }
 
     private void wake(long atUs) {
