Take answers that tell more than 32 MiB for spoilt; hold the start of long ones

Lines at each answer passed on: all told Content-Length. Bodies hold 32 MB at most, so such an answer cannot be read and its attempt has failed. A shorter false length is caught by holding the first 64 KiB, for 0.2 s at most.

Ruled out: answers of unknown length (none was passed on) and second answers (all noticed).

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -49,7 +49,10 @@
     private static final double IDLE_PART = 0.7;
     /** An answer of up to this size is held until it is whole; a longer one goes on as it comes. */
     private static final int MOST_HELD = 1 << 16;
-    /** So does one that does not tell its length and is not whole by then. */
+    /**
+     * So does one that may become longer and is not whole by then. Until then it may still break and be asked
+     * for elsewhere, as spoilt answers often tell a length that is not theirs.
+     */
     private static final long HOLD_MS = 200;
 
     /**
@@ -449,6 +452,7 @@
         private final ByteArrayOutputStream held = new ByteArrayOutputStream();
         private final Future<?> hold;
         private Relay relay;
+        private long size;
         private boolean begun;
         private boolean whole;
         private boolean malformed;
@@ -459,8 +463,10 @@
             this.call = call;
             this.head = head;
             this.length = HttpUtil.getContentLength(head, -1L);
-            this.malformed = head.decoderResult().isFailure() || connection.decoder.malformed();
-            this.hold = length < 0 && head.status().equals(HttpResponseStatus.OK)
+            this.malformed = head.decoderResult().isFailure() || connection.decoder.malformed()
+                    || length > RequestBody.MOST;
+            boolean mayBeLong = length < 0 || length > MOST_HELD;
+            this.hold = mayBeLong && head.status().equals(HttpResponseStatus.OK)
                     ? loop.schedule(this::begin, HOLD_MS, TimeUnit.MILLISECONDS) : null;
         }
 
@@ -474,7 +480,8 @@
         }
 
         void take(HttpContent content) {
-            malformed |= content.decoderResult().isFailure();
+            size += content.content().readableBytes();
+            malformed |= content.decoderResult().isFailure() || size > RequestBody.MOST;
             if (!single || malformed) {
                 return;
             }
@@ -484,7 +491,7 @@
                 hold(content.content());
             }
             whole |= content instanceof LastHttpContent;
-            if (!whole && (length > MOST_HELD || held.size() > MOST_HELD)) {
+            if (!whole && held.size() > MOST_HELD) {
                 begin();
             }
         }
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -15,7 +15,7 @@
 
     /** A body of up to this size is kept. */
     static final int MOST_KEPT = 1 << 16;
-    /** There is none longer than this. */
+    /** There is none longer than this, in answers neither. */
     static final int MOST = 1 << 25;
 
     private final EventLoop loop;
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -101,6 +101,7 @@
             RESET | 200 OK                               | Content-Length: 2;no colon here
             RESET | 200 OK                               | Content-Length: 1
             RESET | 200 OK                               | Content-Length: 0
+            RESET | 200 OK                               | Content-Length: 3000000000
             OK    | 200 OK                               | Content-Length: 2;X-Empty:
             OK    | 200 OK                               | Content-Length: 2;X-Folded: a;  b
             OK    | 200 OK                               | Connection: close
--- a/src/test/java/passhatch/proxy/BodiesTest.java
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -253,6 +253,21 @@
         assertEquals(1, rig.figure("backend_calls"));
     }
 
+    /** A length that is not its own makes a short answer look long; nothing of it has been passed on yet. */
+    @Test
+    void anAnswerThatBreaksOffEarlyIsAskedForElsewhere() throws Exception {
+        ScriptedServer.Script once = (connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\nshort");
+            connection.close();
+        };
+        ScriptedServer broken = rig.backend(once);
+        ScriptedServer good = rig.backend((connection, request) -> connection.answer("200 OK", "good"));
+        rig.start(Rig.entry("s", broken.address(), "SERVING"), Rig.entry("t", good.address(), "SERVING"));
+        for (int i = 0; broken.received.isEmpty(); i++) {
+            assertEquals("good", rig.call(Rig.get("r" + i, "")).text());
+        }
+    }
+
     @Test
     void aClientThatLeavesInALongAnswerEndsTheAttempt() throws Exception {
         ScriptedServer backend = rig.backend((connection, request) -> answer(connection, random(LONG)));
