--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,18 +1,20 @@
 # Starts the proxy with limits on memory that derive from the configured one. Only the shell's own commands are
 # used: where other programs may not be started, this still ends in the one process.
 memory_mb=144
+control=$PROXY_CONTROL
 while IFS= read -r line || [ -n "$line" ]; do
     found=${line#*\"memory_mb\":}
     if [ "$found" != "$line" ]; then
         found=${found# }
         memory_mb=${found%%[!0-9]*}
     fi
+    case $line in *\"control\":*) control=configured ;; esac
 done < "$PROXY_CONFIG"
 
 # Where operators can ask, a second process may run beside the first at a change of version. Where there is not
 # room for two JVMs, none is started.
 share=$memory_mb
-if [ "$memory_mb" -ge 150 ] && [ -n "$PROXY_CONTROL" ]; then
+if [ "$memory_mb" -ge 150 ] && [ -n "$control" ]; then
     share=$((memory_mb / 2))
 fi
 
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -30,13 +30,13 @@
     }
 
     /** The flags that the script hands to java, for a proxy with this much memory. */
-    private String flags(int memoryMb, boolean control, boolean archive) throws Exception {
+    private String flags(int memoryMb, String control, boolean archive) throws Exception {
         Path java = folder.resolve("java");
         Files.writeString(java, "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{\"name\":\"n\",\n \"limits\":{\"cores\":1.0,\"memory_mb\": " + memoryMb
-                + ",\"sockets\":9},\"seed\":\"1\"}");
+                + ",\"sockets\":9}" + (control.equals("file") ? ",\"control\":\"127.0.0.1:9\"" : "") + "}");
         Files.createDirectories(folder.resolve("target"));
         if (archive) {
             Files.writeString(folder.resolve("target/passhatch.jsa"), "");
@@ -47,7 +47,7 @@
         shell.environment().clear();
         shell.environment().put("PATH", folder.toString());
         shell.environment().put("PROXY_CONFIG", config.toString());
-        if (control) {
+        if (control.equals("variable")) {
             shell.environment().put("PROXY_CONTROL", "127.0.0.1:9");
         }
         Process process = shell.redirectErrorStream(true).start();
@@ -59,17 +59,18 @@
 
     @Test
     void theHeapFollowsTheConfiguredMemoryAndTwoProcessesShareIt() throws Exception {
-        assertTrue(flags(144, true, false).contains("-Xmx48m "));
-        assertTrue(flags(208, true, false).contains("-Xmx34m "), "for two");
-        assertTrue(flags(208, false, false).contains("-Xmx48m "), "there is never a second one");
-        assertTrue(flags(72, true, false).contains("-Xmx24m "));
+        assertTrue(flags(144, "variable", false).contains("-Xmx48m "));
+        assertTrue(flags(208, "variable", false).contains("-Xmx34m "), "for two");
+        assertTrue(flags(208, "file", false).contains("-Xmx34m "), "for two");
+        assertTrue(flags(208, "", false).contains("-Xmx48m "), "there is never a second one");
+        assertTrue(flags(72, "variable", false).contains("-Xmx24m "));
     }
 
     @Test
     void theArchiveIsNamedOnlyWhereItIsThere() throws Exception {
-        assertFalse(flags(144, true, false).contains("SharedArchiveFile"));
-        assertTrue(flags(144, true, true).contains(" -XX:SharedArchiveFile=target/passhatch.jsa "));
+        assertFalse(flags(144, "variable", false).contains("SharedArchiveFile"));
+        assertTrue(flags(144, "variable", true).contains(" -XX:SharedArchiveFile=target/passhatch.jsa "));
         assertEquals(List.of("-jar", "target/passhatch.jar", "serve"),
-                List.of(flags(144, true, true).strip().replaceAll(".* (?=-jar)", "").split(" ")));
+                List.of(flags(144, "variable", true).strip().replaceAll(".* (?=-jar)", "").split(" ")));
     }
 }
