--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -1,7 +1,6 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -22,8 +21,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Comparator;
@@ -449,7 +446,7 @@
         private final Call call;
         private final HttpResponse head;
         private final long length;
-        private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+        private final HeldBytes held = new HeldBytes(budget);
         private final Future<?> hold;
         private Relay relay;
         private long size;
@@ -488,7 +485,7 @@
             if (relay != null) {
                 relay.pass(content.content().retain());
             } else {
-                hold(content.content());
+                held.add(content.content());
             }
             whole |= content instanceof LastHttpContent;
             if (!whole && held.size() > MOST_HELD) {
@@ -496,15 +493,6 @@
             }
         }
 
-        private void hold(ByteBuf bytes) {
-            budget.add(bytes.readableBytes());
-            try {
-                bytes.getBytes(bytes.readerIndex(), held, bytes.readableBytes());
-            } catch (IOException cannotBe) {
-                throw new IllegalStateException(cannotBe);
-            }
-        }
-
         /** From now on it goes on as it comes; where it is no 200, nobody wants the rest. */
         private void begin() {
             if (begun || whole || malformed || connection.answer != this) {
@@ -534,19 +522,12 @@
                     connection.channel.config().setAutoRead(on);
                 }
             }, client, listener);
-            relay.pass(Unpooled.wrappedBuffer(release()));
+            relay.pass(Unpooled.wrappedBuffer(held.take()));
             if (whole && relay != null) {
                 relay.finish();
             }
         }
 
-        private byte[] release() {
-            byte[] bytes = held.toByteArray();
-            budget.remove(bytes.length);
-            held.reset();
-            return bytes;
-        }
-
         boolean complete() {
             return whole || malformed;
         }
@@ -558,7 +539,7 @@
         /** All that came with it has been read. */
         void finish(boolean surplus) {
             stopHold();
-            byte[] body = begun ? null : release();
+            byte[] body = begun ? null : held.take();
             if (malformed || surplus && !begun) {
                 drop();
                 call.end(Result.without(Outcome.RESET));
@@ -573,7 +554,7 @@
         /** It will not be whole. */
         void drop() {
             stopHold();
-            release();
+            held.drop();
             if (relay != null) {
                 relay.stop();
                 relay = null;
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -132,9 +132,11 @@
         return !draining && !descriptors.crowded() && !(sharing && answers % SENT_AWAY == 0);
     }
 
-    /** Takes no more connections; those open are served on. */
+    /** Takes no more connections; those open are served on. The order to end may come before it listens. */
     void stopListening() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
     }
 
     /** Closes the connections on which nothing is out, as clients expect between requests. */
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -4,8 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 
 /**
  * The body of a request, from its client's connection to a backend's. A short one is kept, so it may be sent
@@ -22,7 +20,7 @@
     private final ByteBudget budget;
     private final long declared;
     private final Relay.Source source;
-    private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
+    private final HeldBytes held;
     private long size;
     private boolean ended;
     /** Its bytes have begun to go to a backend, or nobody wants them any more. */
@@ -38,6 +36,7 @@
     RequestBody(EventLoop loop, ByteBudget budget, long declared, Relay.Source source) {
         this.loop = loop;
         this.budget = budget;
+        this.held = new HeldBytes(budget);
         this.declared = declared;
         this.source = source;
     }
@@ -68,7 +67,7 @@
 
     /** All of a short body, once it has ended. */
     byte[] kept() {
-        return held.toByteArray();
+        return held.copy();
     }
 
     /** Bytes that came from the client; they stay the caller's. */
@@ -77,19 +76,10 @@
         if (relay != null) {
             relay.pass(bytes.retain());
         } else if (!spent) {
-            hold(bytes);
-        }
-    }
-
-    private void hold(ByteBuf bytes) {
-        budget.add(bytes.readableBytes());
-        try {
-            bytes.getBytes(bytes.readerIndex(), held, bytes.readableBytes());
-        } catch (IOException cannotBe) {
-            throw new IllegalStateException(cannotBe);
-        }
-        if (isLong()) {
-            source.read(false);
+            held.add(bytes);
+            if (isLong()) {
+                source.read(false);
+            }
         }
     }
 
@@ -105,10 +95,7 @@
     void sendTo(Channel backend, Relay.Listener listener) {
         spent = true;
         relay = new Relay(loop, budget, source, backend, listener);
-        byte[] first = held.toByteArray();
-        budget.remove(first.length);
-        held.reset();
-        relay.pass(Unpooled.wrappedBuffer(first));
+        relay.pass(Unpooled.wrappedBuffer(held.take()));
         if (ended && relay != null) {
             relay.finish();
         }
@@ -127,8 +114,7 @@
     void drop() {
         spent = true;
         cut();
-        budget.remove(held.size());
-        held.reset();
+        held.drop();
         source.read(true);
     }
 }
