--- /dev/null
+++ b/src/test/java/passhatch/RegressionScriptTest.java
@@ -0,0 +1,109 @@
+package passhatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The regression test's verdicts, with stand-ins in the place of the operators' kit. */
+@Timeout(60)
+final class RegressionScriptTest {
+
+    private static final String OPS = "more/ops/bin/lbreal";
+    private static final String FLEET = "more/mass/bin/lbreal";
+    private static final String MODULE = "bin/lbsim";
+
+    @TempDir
+    Path kit;
+
+    /** What the script said, and its status. */
+    private record Verdict(int status, String text) { }
+
+    /** Puts a program into the kit that notes its words, says this and ends so. */
+    private void program(String name, String says, int status) throws IOException {
+        Path file = kit.resolve(name);
+        Files.createDirectories(file.getParent());
+        Files.writeString(file, "#!/bin/sh\necho \"" + name + " $*\" >> " + kit.resolve("calls")
+                + "\necho '" + says + "'\nexit " + status + "\n");
+        assertTrue(file.toFile().setExecutable(true));
+    }
+
+    private void kit() throws IOException {
+        program(OPS, "upgrade  G 0.9  score 0.95", 0);
+        program(FLEET, "GATE passed", 0);
+        program(MODULE, "quick estimate 0.86", 0);
+        Files.createDirectories(kit.resolve("sites"));
+        Files.writeString(kit.resolve("sites/jackson-claims.toml"), "");
+    }
+
+    private Verdict run(String... words) throws Exception {
+        List<String> command = new ArrayList<>(List.of("tools/regression.sh"));
+        command.addAll(List.of(words));
+        ProcessBuilder script = new ProcessBuilder(command).redirectErrorStream(true);
+        script.environment().put("KIT", kit.toString());
+        Process process = script.start();
+        String text = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        return new Verdict(process.exitValue(), text);
+    }
+
+    private List<String> calls() throws IOException {
+        String site = kit.resolve("sites/jackson-claims.toml").toString();
+        return Files.readAllLines(kit.resolve("calls")).stream()
+                .map(line -> line.replace(" " + site, "").replaceAll(" --why.*", "")).toList();
+    }
+
+    @Test
+    void playsEachPanelInTurn() throws Exception {
+        kit();
+        Verdict verdict = run("--quick");
+        assertEquals(0, verdict.status(), verdict.text());
+        assertEquals(List.of(OPS + " score --quick", OPS + " score --panel later --quick",
+                FLEET + " score --quick", MODULE + " score --quick"), calls());
+    }
+
+    @Test
+    void playsOnlyThePanelsNamed() throws Exception {
+        kit();
+        assertEquals(0, run("module", "ops").status());
+        assertEquals(List.of(MODULE + " score", OPS + " score"), calls());
+    }
+
+    @Test
+    void saysWhereTheKitIsMissing() throws Exception {
+        Verdict verdict = run();
+        assertEquals(2, verdict.status());
+        assertTrue(verdict.text().contains("no kit"), verdict.text());
+    }
+
+    @Test
+    void failsWhereARunFailsARuleIsBrokenOrTheGateFails() throws Exception {
+        kit();
+        program(OPS, "cannot build", 3);
+        assertEquals(1, run("ops").status());
+        program(OPS, "upgrade  G 0.9  score 0.00  BROKEN: lost", 0);
+        Verdict broken = run();
+        assertEquals(1, broken.status());
+        assertTrue(broken.text().contains("FAILED: ops (BROKEN)"), broken.text());
+        assertTrue(calls().contains(MODULE + " score"), "the other panels are played all the same");
+        program(FLEET, "GATE failed: herd", 0);
+        assertEquals(1, run("fleet").status());
+        program(FLEET, "nothing of a gate", 0);
+        assertEquals(1, run("fleet").status());
+    }
+
+    @Test
+    void aWordThatItDoesNotKnowIsAnError() throws Exception {
+        kit();
+        assertEquals(2, run("all").status());
+    }
+}
