--- a/src/test/java/passhatch/RegressionScriptTest.java
+++ b/src/test/java/passhatch/RegressionScriptTest.java
@@ -95,6 +95,8 @@
         assertEquals(1, broken.status());
         assertTrue(broken.text().contains("FAILED: ops (BROKEN)"), broken.text());
         assertTrue(calls().contains(MODULE + " score"), "the other panels are played all the same");
+        program(MODULE, "rules: broken on overload", 0);
+        assertEquals(1, run("module").status());
         program(FLEET, "GATE failed: herd", 0);
         assertEquals(1, run("fleet").status());
         program(FLEET, "nothing of a gate", 0);
--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -38,7 +38,7 @@
 done
 
 # What the bench says where a day counts for nothing.
-bad='BROKEN|RULE BROKEN|FAULT|crashed|GATE failed'
+bad='BROKEN|[Bb]roken|FAULT|crashed|GATE failed'
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
 failed=()
