Rest a server only after more breaks in a row than come by chance at all servers

Cause: Logic.judge took the second failure in a row for a proof. Where one connection in ten breaks at each server, that comes about at every hundredth call, and each time costs 3 s of a server. Troubles now keeps the share of breaks over all servers, and so many in a row tell as come by chance less than once in a thousand.

Ruled out: a rest that half of the servers must be left out of (mostStay): two of four resting would pass it.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -77,8 +77,6 @@
     private static final double FAR_ROUNDS = 1;
     /** Weight of the newest answer in a server's share of errors. */
     private static final double ERROR_WEIGHT = 0.2;
-    /** Share of failed connections above which connected servers come first: one failure counts for ten. */
-    private static final double CUT = 0.02;
     /** Share of errors above which a server may rest for it. */
     private static final double ERRORS = 0.35;
     /** A slow server is tried again after this long at the latest, as it may have recovered. */
@@ -109,11 +107,8 @@
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     /** Attempts in the order of their sending, to find those overdue. */
     private final ArrayDeque<Attempt> sent = new ArrayDeque<>();
-    /** Share of errors among all latest answers. */
-    private double errors;
     private final ReportTrust reports = new ReportTrust(FAIL_TIMEOUT_US, ERROR_WEIGHT, ERRORS);
-    /** Share of connections that could not be made among all latest outcomes. */
-    private double cut;
+    private final Troubles troubles = new Troubles();
     /** The shortest aim of all classes. */
     private final double shortestAimUs;
     private final double leastWorth;
@@ -608,7 +603,7 @@
      * some calls; were it to act always, each copy would keep to a few servers without need.
      */
     private boolean doubtful(long nowUs, Backend s) {
-        return cut > CUT && s.inFlight == 0 && s.reachedUs <= nowUs - settings.limits().keepaliveUs();
+        return troubles.cut() && s.inFlight == 0 && s.reachedUs <= nowUs - settings.limits().keepaliveUs();
     }
 
     /** Whether the class may run on the server. Where none that may is in use, its calls wait for one. */
@@ -718,10 +713,9 @@
      */
     private void judgeErrors(long nowUs, Backend s, boolean error) {
         s.errors += ERROR_WEIGHT * ((error ? 1 : 0) - s.errors);
-        errors += ERROR_WEIGHT * ERROR_WEIGHT * ((error ? 1 : 0) - errors);
         if (!error) {
             s.errorRests = s.errors < ERRORS / 2 ? 0 : s.errorRests;
-        } else if (s.errors > ERRORS && s.errors > 2 * errors && mostStay(nowUs)) {
+        } else if (s.errors > ERRORS && s.errors > 2 * troubles.errors() && mostStay(nowUs)) {
             s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.errorRests++, MOST_DOUBLINGS));
             s.errors = ERRORS;
             say(nowUs, s.id, " rests: it answers with errors far more often than others");
@@ -730,11 +724,11 @@
 
     /** Keeps the tally of failures: only a connection that fails or breaks counts. */
     private void judge(long nowUs, Backend s, Outcome outcome) {
+        troubles.heard(outcome);
         if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
             judgeErrors(nowUs, s, outcome == Outcome.ERROR);
         }
         boolean failed = outcome == Outcome.CONNECT_FAILED;
-        cut += ERROR_WEIGHT * ((failed ? 1 : 0) - cut);
         s.reachedUs = failed || outcome == Outcome.RESET ? Long.MIN_VALUE : nowUs;
         if (outcome == Outcome.OK) {
             s.failures = 0;
@@ -743,8 +737,9 @@
         } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             s.failures++;
             s.demotedUntilUs = nowUs + FAIL_TIMEOUT_US;
-            if (s.failures >= MAX_FAILS) {
-                int doublings = Math.min(s.failures - MAX_FAILS, MOST_DOUBLINGS);
+            int surplus = s.failures - troubles.failuresThatTell(MAX_FAILS);
+            if (surplus >= 0) {
+                int doublings = Math.min(surplus, MOST_DOUBLINGS);
                 s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << doublings);
                 say(nowUs, s.id, " rests: connections to it fail or break");
             }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -162,6 +162,37 @@
             assertTrue(pauses[1] > pauses[0] * 3 / 2, pauses[0] + " then " + pauses[1]);
         }
 
+        /** Plays calls one after another; at each server so many of twenty in a row break. */
+        private void play(Proxy p, int calls, Map<String, Integer> breaksInTwenty) {
+            Map<String, Integer> turns = new HashMap<>();
+            for (int i = 0; i < calls; i++) {
+                String r = p.request(Proxy.UNSAFE);
+                String server = p.at(r);
+                assertNotNull(server, "it waits, as all servers rest");
+                p.pass(20);
+                boolean breaks = turns.merge(server, 1, Integer::sum) % 20 < breaksInTwenty.get(server);
+                p.end(r, breaks ? Outcome.RESET : Outcome.OK);
+            }
+        }
+
+        @Test
+        void breaksThatAllServersHaveAlikeRestNone() {
+            // Where one connection in ten breaks at every server, two in a row are chance.
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            play(p, 60, Map.of("a", 1, "b", 1, "c", 1, "d", 1));
+            play(p, 200, Map.of("a", 2, "b", 2, "c", 2, "d", 2));
+            assertEquals(0, p.count("log"), p.done.toString());
+        }
+
+        @Test
+        void aServerThatBreaksAllConnectionsRestsWhateverTheOthersDo() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            play(p, 200, Map.of("a", 1, "b", 1, "c", 1, "d", 1));
+            // It is demoted for 3 s after each, so the next try comes only then.
+            play(p, 1_000, Map.of("a", 20, "b", 1, "c", 1, "d", 1));
+            assertTrue(p.did("log a rests: connections to it fail or break"));
+        }
+
         @Test
         void waitsWhileAllRestAndFailsWhenTimeRunsShort() {
             Proxy p = new Proxy(setup()).with();
