Let ten failures in a row always tell, however many connections break

Where every server breaks every connection the share of breaks comes near one, and no number of failures in a row was beyond chance: none rested any more. The share counts as a half at most now.

--- a/src/main/java/passhatch/Troubles.java
+++ b/src/main/java/passhatch/Troubles.java
@@ -13,6 +13,8 @@
     private static final double CUT = 0.02;
     /** Failures in a row that come about less often than this where all servers fail alike are no chance. */
     private static final double CHANCE = 0.001;
+    /** A share of breaks above this counts as this: ten failures in a row always tell. */
+    private static final double MOST_BREAKS = 0.5;
 
     private double errors;
     private double breaks;
@@ -47,7 +49,10 @@
      * @param least where they break seldom
      */
     int failuresThatTell(int least) {
-        return breaks < CHANCE ? least
-                : Math.max(least, (int) Math.ceil(Math.log(CHANCE) / Math.log(breaks)));
+        if (breaks < CHANCE) {
+            return least;
+        }
+        double inARow = Math.log(CHANCE) / Math.log(Math.min(breaks, MOST_BREAKS));
+        return Math.max(least, (int) Math.ceil(inARow));
     }
 }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -193,6 +193,19 @@
             assertTrue(p.did("log a rests: connections to it fail or break"));
         }
 
+        @Test
+        void serversRestWhereNoneKeepsAConnection() {
+            Proxy p = new Proxy(setup()).with("a", "b");
+            for (int i = 0; i < 200; i++) {
+                String r = p.request(Proxy.UNSAFE);
+                p.pass(10);
+                if (p.at(r) != null) {
+                    p.end(r, Outcome.RESET);
+                }
+            }
+            assertTrue(p.count("send") < 25, "sent: " + p.count("send"));
+        }
+
         @Test
         void waitsWhileAllRestAndFailsWhenTimeRunsShort() {
             Proxy p = new Proxy(setup()).with();
