--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -68,7 +68,7 @@
         /** The message was written whole. */
         default void written() { }
 
-        /** An answer begins that goes on as it comes; once it is a long one, the time-out is off. */
+        /** An answer begins that goes on as it comes; from now on the time-out is off. */
         default void begun(AnswerStream answer) { }
 
         /** It has ended, once. */
@@ -218,8 +218,6 @@
         Future<?> timeout;
         /** All of the message has been handed to the network: from now on it may run. */
         boolean written;
-        /** Its answer is a long one that has begun, of which only the first bytes are due in time. */
-        private boolean untimed;
         boolean ended;
 
         Call(Outgoing outgoing, Listener listener) {
@@ -235,17 +233,12 @@
         @Override
         public void endWithin(long us) {
             stopClock();
-            if (!ended && !untimed) {
+            if (!ended) {
                 timeout = loop.schedule(this::timeUp, Math.max(0, us), TimeUnit.MICROSECONDS);
             }
         }
 
-        void untime() {
-            untimed = true;
-            stopClock();
-        }
-
-        private void stopClock() {
+        void stopClock() {
             if (timeout != null) {
                 timeout.cancel(false);
                 timeout = null;
@@ -494,20 +487,12 @@
             } else {
                 held.add(content.content());
             }
-            if (begun && isLong()) {
-                call.untime();
-            }
             whole |= content instanceof LastHttpContent;
             if (!whole && held.size() > MOST_HELD) {
                 begin();
             }
         }
 
-        /** As far as is known; one that is not is due whole in the call's time, though it may have begun. */
-        private boolean isLong() {
-            return Math.max(size, length) > MOST_HELD;
-        }
-
         /** From now on it goes on as it comes; where it is no 200, nobody wants the rest. */
         private void begin() {
             if (begun || whole || malformed || connection.answer != this) {
@@ -516,9 +501,7 @@
             if (head.status().equals(HttpResponseStatus.OK)) {
                 begun = true;
                 connection.channel.config().setAutoRead(false);
-                if (isLong()) {
-                    call.untime();
-                }
+                call.stopClock();
                 call.listener.begun(this);
             } else {
                 connection.letGo();
