--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -21,7 +21,7 @@
  */
 public final class Logic implements Balancer {
 
-    /** Failures in a row after which a server rests: one may be chance, the second confirms it. */
+    /** Failures in a row after which a server rests, where few break: one may be chance, two are none. */
     private static final int MAX_FAILS = 2;
     /** How long a server rests: a few tries a minute do no harm, and a restart takes some seconds. */
     private static final long FAIL_TIMEOUT_US = 3_000_000;
