Trace each request's steps on a flag, to find those that are lost

Change: with -Dpasshatch.trace=true the log has a line at a request's take, attempts, end and last byte, and at each connection's begin and end. Off in run; off, a step costs one test.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -133,6 +133,9 @@
 
         /** Gives the request up, wherever it is. */
         void abandon() {
+            if (request != null) {
+                connection.server.log().trace("abandoned", request.id(), connection.channel.id());
+            }
             if (taken) {
                 connection.server.proxy().clientGone(request.id());
             } else if (request != null) {
@@ -209,6 +212,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         awaitRequest();
         server.arrived(this);
+        server.log().trace("accepted", "-", channel);
         ctx.fireChannelActive();
     }
 
@@ -297,6 +301,7 @@
                         "X-Request-Id is already in use");
             }
             turn.taken = true;
+            server.log().trace("on", turn.request.id(), channel.id());
             server.busy(this);
         } else if (last) {
             server.proxy().bodyEnded(turn.request.id(), server.unreadUs());
@@ -389,12 +394,19 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         channel.writeAndFlush(response).addListener(done -> {
+            traceOut(turn, done.isSuccess());
             if (!keep) {
                 closeAfter(turn);
             }
         });
     }
 
+    private void traceOut(Turn turn, boolean success) {
+        if (turn.request != null) {
+            server.log().trace("last-byte", turn.request.id(), success ? channel.id() : "not written");
+        }
+    }
+
     private void closeAfter(Turn turn) {
         if (receiving == turn) {
             closesAfterBody = true;
@@ -424,6 +436,7 @@
             @Override
             public void passed() {
                 turn.streamed = true;
+                traceOut(turn, true);
                 turn.out.passed();
                 if (kept) {
                     writeAnswers();
@@ -481,6 +494,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         endPatience();
+        server.log().trace("closed", "-", channel.id());
         server.left(this);
         gone();
     }
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -3,10 +3,14 @@
 import java.io.PrintStream;
 import java.time.Instant;
 
-/** The proxy's log: one line per abnormal event. */
+/**
+ * The proxy's log: one line per abnormal event, and with {@code -Dpasshatch.trace=true} one per step of each
+ * request.
+ */
 final class EventLog {
 
     private final PrintStream out;
+    private final boolean tracing = Boolean.getBoolean("passhatch.trace");
 
     EventLog(PrintStream out) {
         this.out = out;
@@ -16,6 +20,13 @@
         out.println(Instant.now() + " " + text);
     }
 
+    /** One step of a request: its take, its attempts, its end, the last byte of its answer. */
+    void trace(String step, String id, Object what) {
+        if (tracing) {
+            line("trace " + step + " " + id + " " + what);
+        }
+    }
+
     /** An error in this program, with its trace: it is to be mended, not to be lived with. */
     void bug(String text, Throwable cause) {
         out.println(Instant.now() + " BUG " + text);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -184,6 +184,7 @@
             return false;
         }
         unanswered++;
+        log.trace("taken", request.id(), request.budgetUs());
         e.uploading = !request.body().ended();
         if (e.uploading) {
             uploading++;
@@ -274,6 +275,7 @@
         }
         decide(e);
         attempt.streams = true;
+        log.trace("streams", e.request.id(), stream.length());
         tell(e, () -> balancer.streamStarted(clock.nowUs(), e.request.id(), attempt.number, attempt.server,
                 elapsedUs(attempt)));
         e.responder.stream(stream, new Relay.Listener() {
@@ -297,6 +299,7 @@
 
     private void attemptEnded(Exchange e, Attempt attempt, Result result) {
         attempt.outcome = result.outcome();
+        log.trace("attempt-ended", e.request.id(), result.outcome());
         long elapsedUs = elapsedUs(attempt);
         if (result.outcome() == Outcome.OK && !e.answered) {
             answer(e, Answer.served(result.body()));
@@ -350,6 +353,7 @@
         }
         Attempt attempt = new Attempt(e.attempts.size(), server, now);
         e.attempts.add(attempt);
+        log.trace("attempt", id, server);
         RequestBody body = e.request.body();
         // The time of one that is still coming runs once it has come; until then its progress is watched.
         long leftUs = e.uploading ? LONGEST_UPLOAD_US : e.deadlineUs - now;
@@ -364,6 +368,7 @@
                 new BackendPool.Listener() {
                     @Override
                     public void written() {
+                        log.trace("written", e.request.id(), attempt.number);
                         figures.backendCall();
                         if (body.isLong()) {
                             attempt.sentAtUs = clock.nowUs();
@@ -517,6 +522,7 @@
     /** The one place where a request ends; with null where its client has left. */
     private void end(Exchange e, Figures.Ending how) {
         e.ended = true;
+        log.trace("ended", e.request.id(), how);
         if (how != null) {
             figures.ended(e.request.requestClass(), how);
         }
