Turn the proxy's inner dependencies round, before its parts get packages of their own

Need: the flat package hid that the callers' side knew the loop, the answers knew the figures, the budget of descriptors knew the control address, discovery and the parser took the whole configuration, and the configuration reached back into the simulator's adapter. Change: RequestHandler is the callers' side's face to the loop; Discovery.Source, Descriptors and RequestParser are told what they need; SettingsReader with its own BadSettings stands beside SettingsBuilder, where proxy and adapter both use it. Behaviour is unchanged.

--- a/src/main/java/passhatch/adapter/SettingsReader.java
+++ b/src/main/java/passhatch/SettingsReader.java
@@ -1,4 +1,4 @@
-package passhatch.adapter;
+package passhatch;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -13,7 +13,6 @@
 import passhatch.Balancer.Rules;
 import passhatch.Balancer.Settings;
 import passhatch.Balancer.Tenant;
-import passhatch.SettingsBuilder;
 
 /** Turns the wire's settings into the library's. Keys that are not known are passed over. */
 public final class SettingsReader {
@@ -27,7 +26,7 @@
     }
 
     /** Reads the settings; the message of what is thrown names the key that is at fault. */
-    public static Settings read(Map<String, Object> params) throws WireException {
+    public static Settings read(Map<String, Object> params) throws BadSettings {
         SettingsReader top = new SettingsReader(params, "");
         List<RequestClass> classes = new ArrayList<>();
         for (SettingsReader c : top.list("categories")) {
@@ -66,7 +65,7 @@
                 .build();
     }
 
-    private Effect effect() throws WireException {
+    private Effect effect() throws BadSettings {
         String text = text("effect", null);
         if (text == null) {
             throw bad("effect", "is missing");
@@ -79,7 +78,7 @@
         };
     }
 
-    private DedupGroup group() throws WireException {
+    private DedupGroup group() throws BadSettings {
         String text = text("group", "all");
         return switch (text) {
             case "all" -> DedupGroup.ALL;
@@ -89,14 +88,14 @@
         };
     }
 
-    private double number(String key) throws WireException {
+    private double number(String key) throws BadSettings {
         if (values.get(key) == null) {
             throw bad(key, "is missing");
         }
         return number(key, 0);
     }
 
-    private double number(String key, double absent) throws WireException {
+    private double number(String key, double absent) throws BadSettings {
         Object value = values.get(key);
         if (value == null) {
             return absent;
@@ -108,7 +107,7 @@
     }
 
     /** A list of indices as a set; null where absent. */
-    private Set<Integer> indices(String key) throws WireException {
+    private Set<Integer> indices(String key) throws BadSettings {
         Object value = values.get(key);
         if (value == null) {
             return null;
@@ -126,7 +125,7 @@
         return result;
     }
 
-    private long whole(String key) throws WireException {
+    private long whole(String key) throws BadSettings {
         return Math.round(number(key));
     }
 
@@ -134,7 +133,7 @@
         return Boolean.TRUE.equals(values.get(key));
     }
 
-    private String text(String key, String absent) throws WireException {
+    private String text(String key, String absent) throws BadSettings {
         Object value = values.get(key);
         if (value == null) {
             return absent;
@@ -145,12 +144,12 @@
         throw bad(key, "must be a text");
     }
 
-    private SettingsReader object(String key) throws WireException {
+    private SettingsReader object(String key) throws BadSettings {
         Object value = values.get(key);
         return new SettingsReader(value == null ? Map.of() : asObject(value, key), path + key + ".");
     }
 
-    private List<SettingsReader> list(String key) throws WireException {
+    private List<SettingsReader> list(String key) throws BadSettings {
         List<SettingsReader> result = new ArrayList<>();
         Object value = values.get(key);
         if (value != null && !(value instanceof List<?>)) {
@@ -166,14 +165,14 @@
     }
 
     @SuppressWarnings("unchecked")
-    private Map<String, Object> asObject(Object value, String key) throws WireException {
+    private Map<String, Object> asObject(Object value, String key) throws BadSettings {
         if (value instanceof Map<?, ?> map) {
             return (Map<String, Object>) map;
         }
         throw bad(key, "must be an object");
     }
 
-    private WireException bad(String key, String what) {
-        return new WireException("params." + path + key + " " + what);
+    private BadSettings bad(String key, String what) {
+        return new BadSettings("params." + path + key + " " + what);
     }
 }
--- a/src/main/java/passhatch/adapter/Wire.java
+++ b/src/main/java/passhatch/adapter/Wire.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import passhatch.BadSettings;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.ListKind;
@@ -18,6 +19,7 @@
 import passhatch.Balancer.Request;
 import passhatch.Balancer.Server;
 import passhatch.Logic;
+import passhatch.SettingsReader;
 
 /** Hosts the instances of one process: hands each its events and writes down its actions. */
 final class Wire {
@@ -134,7 +136,7 @@
         try {
             Balancer balancer = new Logic(SettingsReader.read(params), seed, actions);
             instances.put(e.who, new Instance(balancer, fields(params)));
-        } catch (WireException | IllegalArgumentException bad) {
+        } catch (BadSettings | IllegalArgumentException bad) {
             throw new WireException("line " + e.line + ": powerOn: " + bad.getMessage());
         }
     }
--- a/src/main/java/passhatch/adapter/WireException.java
+++ b/src/main/java/passhatch/adapter/WireException.java
@@ -1,7 +1,7 @@
 package passhatch.adapter;
 
 /** Input that the wire does not allow; the message says what and where. */
-public final class WireException extends Exception {
+final class WireException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/passhatch/proxy/Answer.java
+++ b/src/main/java/passhatch/proxy/Answer.java
@@ -28,13 +28,6 @@
         return new Answer(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY);
     }
 
-    /** How a request ends that gets this answer. */
-    Figures.Ending ending() {
-        return status.equals(HttpResponseStatus.OK) ? Figures.Ending.SERVED
-                : status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? Figures.Ending.REFUSED
-                : Figures.Ending.FAILED;
-    }
-
     static Answer of(HttpResponseStatus status) {
         return new Answer(status, null, NO_BODY);
     }
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -121,8 +121,8 @@
         this.descriptors = descriptors;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, ClientServer.WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, ClientServer.READS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -84,7 +84,7 @@
     }
 
     /** A request on a connection, until its answer is written. */
-    private static final class Turn implements ProxyLoop.Responder {
+    private static final class Turn implements RequestHandler.Responder {
         private final ClientConnection connection;
         private final HttpVersion version;
         boolean keepAlive;
@@ -137,7 +137,7 @@
                 connection.server.log().trace("abandoned", request.id(), connection.channel.id());
             }
             if (taken) {
-                connection.server.proxy().clientGone(request.id());
+                connection.server.requests().clientGone(request.id());
             } else if (request != null) {
                 request.body().drop();
             }
@@ -296,7 +296,7 @@
             body.end();
         }
         if (!turn.taken && (last || body.isLong())) {
-            if (!server.proxy().take(turn.request, server.unreadUs(), turn)) {
+            if (!server.requests().take(turn.request, server.unreadUs(), turn)) {
                 throw new RequestParser.BadRequest(HttpResponseStatus.BAD_REQUEST,
                         "X-Request-Id is already in use");
             }
@@ -304,7 +304,7 @@
             server.log().trace("on", turn.request.id(), channel.id());
             server.busy(this);
         } else if (last) {
-            server.proxy().bodyEnded(turn.request.id(), server.unreadUs());
+            server.requests().bodyEnded(turn.request.id(), server.unreadUs());
         }
     }
 
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -1,14 +1,11 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpRequest;
@@ -25,10 +22,6 @@
 /** The callers' side: takes requests over HTTP and gives each its one answer. */
 final class ClientServer {
 
-    /** When a connection counts as full, and as free again. */
-    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 16);
-    /** What is read at a time, as all of it is held until it has gone on. */
-    static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
     private static final int BACKLOG = 1024;
     /** While a newer process takes over, one in so many answers sends its client away. */
     private static final int SENT_AWAY = 8;
@@ -45,7 +38,7 @@
     private final Clock clock;
     private final EventLog log;
     private final RequestParser parser;
-    private final ProxyLoop proxy;
+    private final RequestHandler requests;
     private final ByteBudget budget;
     private final Descriptors descriptors;
     /** Connections that were served and have no request out, the longest idle first. */
@@ -68,13 +61,13 @@
      * @param budget of the bytes of bodies that are held
      * @param descriptors shared with the backends' side; where there are too few, some connection is closed
      */
-    ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
+    ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, RequestHandler requests,
             ByteBudget budget, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.parser = parser;
-        this.proxy = proxy;
+        this.requests = requests;
         this.budget = budget;
         this.descriptors = descriptors;
         this.nextBeatUs = clock.nowUs();
@@ -88,8 +81,8 @@
                 // At a change of version two processes listen here.
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, READS)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -108,7 +101,7 @@
 
     /** Whether requests should come here: the list is known, and connections are taken. */
     boolean ready() {
-        return listener != null && listener.isActive() && !unready && proxy.ready();
+        return listener != null && listener.isActive() && !unready && requests.ready();
     }
 
     /** From now on callers that ask are told not to begin with this proxy. */
@@ -155,8 +148,8 @@
 
     // ---- for the connections
 
-    ProxyLoop proxy() {
-        return proxy;
+    RequestHandler requests() {
+        return requests;
     }
 
     RequestParser parser() {
--- a/src/main/java/passhatch/proxy/Descriptors.java
+++ b/src/main/java/passhatch/proxy/Descriptors.java
@@ -7,17 +7,27 @@
  */
 final class Descriptors {
 
-    /** For the JVM's own files, the selector, the listeners, discovery and operators' calls. */
-    private static final int OWN = 24 + Control.MOST_CALLERS;
+    /** For the JVM's own files, the selector, the listeners and discovery. */
+    private static final int OWN = 24;
     /** The part for connections to backends: requests take a third at most, and some idle. */
     private static final double BACKEND_PART = 0.375;
     /** Above this part of its connections a crowd is about. */
     private static final double CROWDED_PART = 0.75;
 
+    private final int reserved;
     private int limit;
     private int clients;
     private int backends;
 
+    /**
+     * None are held yet.
+     *
+     * @param callers how many of operators' calls may be open at a time
+     */
+    Descriptors(int callers) {
+        this.reserved = OWN + callers;
+    }
+
     /** How many this process may hold from now on; those beyond go as new ones come. */
     void limit(int most) {
         limit = most;
@@ -46,11 +56,11 @@
 
     /** Whether more are held than may be. */
     boolean over() {
-        return clients + backends > limit - OWN;
+        return clients + backends > limit - reserved;
     }
 
     /** Whether room gets scarce, so that no connection should stay without need. */
     boolean crowded() {
-        return clients + backends > (limit - OWN) * CROWDED_PART;
+        return clients + backends > (limit - reserved) * CROWDED_PART;
     }
 }
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -60,8 +60,7 @@
 
     private final EventLoop loop;
     private final EventLog log;
-    private final ProxyConfig config;
-    private final boolean onRequest;
+    private final Source source;
     private final Listener listener;
     private final SplittableRandom random;
     private long index;
@@ -73,15 +72,26 @@
     /** The watch that is out; one that was given up for another says nothing any more. */
     private Watch current;
 
-    Discovery(EventLoop loop, EventLog log, ProxyConfig config, Listener listener) {
+    /**
+     * What there is to watch.
+     *
+     * @param index of the list that is known already; 0 where none is
+     * @param onRequest whether the module says when to ask again after a watch has ended
+     * @param zones names of the zones, by position
+     * @param models names of the machine kinds, by position
+     */
+    record Source(InetSocketAddress address, long index, boolean onRequest, List<String> zones,
+            List<String> models) { }
+
+    /** A watch that has not begun; the seed is of the pauses between two. */
+    Discovery(EventLoop loop, EventLog log, Source source, long seed, Listener listener) {
         this.loop = loop;
         this.log = log;
-        this.config = config;
+        this.source = source;
         this.listener = listener;
-        this.onRequest = config.settings().watch();
-        this.address = config.discovery();
-        this.random = new SplittableRandom(config.seed());
-        this.index = config.known().index();
+        this.address = source.address();
+        this.random = new SplittableRandom(seed);
+        this.index = source.index();
         this.whole = index == 0;
     }
 
@@ -147,7 +157,7 @@
             return;
         }
         log.line("discovery: the watch from index " + index + " ended");
-        if (onRequest) {
+        if (source.onRequest()) {
             // The module hears of it and says when to ask again.
             listener.failed();
             return;
@@ -221,7 +231,7 @@
             }
             EndpointList list;
             try {
-                list = EndpointList.of(JSON.std.mapFrom(text), config.zones(), config.models());
+                list = EndpointList.of(JSON.std.mapFrom(text), source.zones(), source.models());
             } catch (IOException | IllegalArgumentException bad) {
                 log.line("discovery: a line is skipped: " + bad.getMessage().lines().findFirst().orElse(""));
                 return;
--- a/src/main/java/passhatch/proxy/EndpointList.java
+++ b/src/main/java/passhatch/proxy/EndpointList.java
@@ -53,7 +53,7 @@
                 Clock.fromUnixMs(typed(line, "since_ms", Number.class).longValue()),
                 zones.indexOf(line.get("zone")), line.get("group") instanceof Number n ? n.intValue() : 0,
                 status, models.indexOf(line.get("type")));
-        return new Endpoint(server, ProxyConfig.parseAddress(typed(line, "address", String.class)));
+        return new Endpoint(server, Addresses.parse(typed(line, "address", String.class)));
     }
 
     private static <T> T typed(Map<?, ?> json, String key, Class<T> type) {
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -1,18 +1,16 @@
 package passhatch.proxy;
 
 import com.fasterxml.jackson.jr.ob.JSON;
-import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.math.BigInteger;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import passhatch.BadSettings;
 import passhatch.Balancer.Settings;
-import passhatch.adapter.SettingsReader;
-import passhatch.adapter.WireException;
+import passhatch.SettingsReader;
 
 /**
  * What this proxy is told at its start, checked.
@@ -57,7 +55,7 @@
         Settings settings;
         try {
             settings = SettingsReader.read(params);
-        } catch (WireException | IllegalArgumentException bad) {
+        } catch (BadSettings | IllegalArgumentException bad) {
             throw new BadConfig("config: settings: " + bad.getMessage());
         }
         List<String> zones = strings(params, "dcs");
@@ -100,24 +98,9 @@
         throw new BadConfig("config: discovery is missing or not an address");
     }
 
-    /** The address of a text like 10.0.0.4:5000; names are not looked up, as there is no DNS. */
-    static InetSocketAddress parseAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        if (ip == null) {
-            throw new IllegalArgumentException("'" + text + "' is not an address and a port");
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(ip),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (IOException | IllegalArgumentException bad) {
-            throw new IllegalArgumentException("'" + text + "' is not an address and a port", bad);
-        }
-    }
-
     private static InetSocketAddress address(String what, String text) throws BadConfig {
         try {
-            return parseAddress(text);
+            return Addresses.parse(text);
         } catch (IllegalArgumentException bad) {
             throw new BadConfig(what + ": " + bad.getMessage());
         }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -34,7 +35,7 @@
  * The only caller of the decision module: tells it what happens and does what it asks. It holds the state of
  * the requests taken and sees to it that each gets exactly one final answer in time.
  */
-final class ProxyLoop implements Actions, Discovery.Listener {
+final class ProxyLoop implements Actions, Discovery.Listener, RequestHandler {
 
     /**
      * How long before its client's time is up a request ends here: the answer has to travel, and the loop may
@@ -51,17 +52,6 @@
     /** A body that has not come whole by then never will: the slowest is sent at 64 kB a second. */
     private static final long LONGEST_UPLOAD_US = 600_000_000;
 
-    /** Where the final answer of a request goes. */
-    interface Responder {
-        void answer(Answer answer);
-
-        /** Passes an answer on as it comes, and has told how that ended once. */
-        void stream(AnswerStream answer, Relay.Listener out);
-
-        /** What was begun to be passed on will not be whole. */
-        void broken();
-    }
-
     /** What is known of a backend's address and what the list says of it. */
     private record Backend(InetSocketAddress address, ServerStatus status) {
         boolean listed() {
@@ -99,7 +89,9 @@
         this.log = log;
         this.pool = pool;
         this.maxAttempts = config.settings().limits().maxAttempts();
-        this.discovery = new Discovery(loop, log, config, this);
+        this.discovery = new Discovery(loop, log, new Discovery.Source(config.discovery(),
+                config.known().index(), config.settings().watch(), config.zones(), config.models()),
+                config.seed(), this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
         if (!config.settings().watch()) {
@@ -108,7 +100,8 @@
     }
 
     /** Whether a list of backends has come in since the start. */
-    boolean ready() {
+    @Override
+    public boolean ready() {
         return listed;
     }
 
@@ -172,13 +165,8 @@
         }
     }
 
-    /**
-     * Takes a request whose body is whole, or is too long to be kept; false where one with its id is still
-     * held.
-     *
-     * @param unreadUs how long its last bytes may have stood unread
-     */
-    boolean take(ProxyRequest request, long unreadUs, Responder responder) {
+    @Override
+    public boolean take(ProxyRequest request, long unreadUs, Responder responder) {
         Exchange e = new Exchange(request, responder);
         if (exchanges.putIfAbsent(request.id(), e) != null) {
             return false;
@@ -201,8 +189,8 @@
         return true;
     }
 
-    /** All of a request has come, of which only a part had when it was taken: its time runs from now on. */
-    void bodyEnded(String id, long unreadUs) {
+    @Override
+    public void bodyEnded(String id, long unreadUs) {
         Exchange e = exchanges.get(id);
         if (e == null || !e.uploading) {
             return;
@@ -232,8 +220,8 @@
                 TimeUnit.MICROSECONDS);
     }
 
-    /** The client has closed its connection, or spoilt its request: no answer is owed any more. */
-    void clientGone(String id) {
+    @Override
+    public void clientGone(String id) {
         Exchange e = exchanges.get(id);
         if (e == null || e.ended) {
             return;
@@ -507,10 +495,16 @@
     /** Gives the one final answer. */
     private void answer(Exchange e, Answer answer) {
         decide(e);
-        end(e, answer.ending());
+        end(e, ending(answer));
         e.responder.answer(answer);
     }
 
+    private static Figures.Ending ending(Answer answer) {
+        return answer.status().equals(HttpResponseStatus.OK) ? Figures.Ending.SERVED
+                : answer.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? Figures.Ending.REFUSED
+                : Figures.Ending.FAILED;
+    }
+
     /** The final answer is settled, though it may still be on its way. */
     private static void decide(Exchange e) {
         e.answered = true;
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -55,7 +55,7 @@
     private final long longestDeadlineMs;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final int sockets;
-    private final Descriptors descriptors = new Descriptors();
+    private final Descriptors descriptors = new Descriptors(Control.MOST_CALLERS);
     private ProxyLoop proxy;
     private ClientServer clients;
     private BackendPool pool;
@@ -129,7 +129,8 @@
         pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
                 config.settings().limits().keepaliveUs(), descriptors);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
-        clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, budget,
+        clients = new ClientServer(loop, clock, log, new RequestParser(config.settings().classes(),
+                config.classes(), config.tenants()), proxy, budget,
                 descriptors);
         control = new Control(loop, log, () -> clients.ready() && warm, proxy::figures);
         shareDescriptors();
--- a/src/main/java/passhatch/proxy/Relay.java
+++ b/src/main/java/passhatch/proxy/Relay.java
@@ -1,8 +1,11 @@
 package passhatch.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
@@ -15,6 +18,11 @@
  */
 final class Relay {
 
+    /** When a connection counts as full, and as free again. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 16);
+    /** What is read at a time, as all of it is held until it has gone on. */
+    static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
+
     /** Peers take seconds to read or write; one that does nothing for this long has gone. */
     private static final long STALL_MS = 30_000;
 
--- a/src/main/java/passhatch/proxy/RequestParser.java
+++ b/src/main/java/passhatch/proxy/RequestParser.java
@@ -38,10 +38,10 @@
     private final List<String> classNames;
     private final List<String> tenants;
 
-    RequestParser(ProxyConfig config) {
-        this.classes = config.settings().classes();
-        this.classNames = config.classes();
-        this.tenants = config.tenants();
+    RequestParser(List<RequestClass> classes, List<String> classNames, List<String> tenants) {
+        this.classes = classes;
+        this.classNames = classNames;
+        this.tenants = tenants;
     }
 
     /** Reads the head of a request. */
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -42,7 +42,7 @@
             NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
-    private final Descriptors descriptors = new Descriptors();
+    private final Descriptors descriptors = new Descriptors(0);
     private final ByteBudget budget = new ByteBudget(1 << 20);
     private BackendPool pool;
 
