Move the proxy's parts into packages: client, backend, discovery, control, flow, base

Change: moves only. What another part uses is public now, the rest stays package-private. What is left at the top puts the parts together (ProxyServer, ProxyLoop, ProxyConfig, Succession, HangUp, Rehearsal). Beside the four parts: flow (bodies on their way and their budget) and base (clock, log, descriptors, addresses), as both sides use them.

--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -11,6 +11,8 @@
 import passhatch.BadSettings;
 import passhatch.Balancer.Settings;
 import passhatch.SettingsReader;
+import passhatch.proxy.base.Addresses;
+import passhatch.proxy.discovery.EndpointList;
 
 /**
  * What this proxy is told at its start, checked.
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -28,8 +28,21 @@
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Request;
 import passhatch.Balancer.ServerStatus;
-import passhatch.proxy.BackendPool.Outgoing;
-import passhatch.proxy.BackendPool.Result;
+import passhatch.proxy.backend.BackendPool;
+import passhatch.proxy.backend.BackendPool.Outgoing;
+import passhatch.proxy.backend.BackendPool.Result;
+import passhatch.proxy.backend.LoadText;
+import passhatch.proxy.base.Clock;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.client.Answer;
+import passhatch.proxy.client.ProxyRequest;
+import passhatch.proxy.client.RequestHandler;
+import passhatch.proxy.control.Figures;
+import passhatch.proxy.discovery.Discovery;
+import passhatch.proxy.discovery.EndpointList;
+import passhatch.proxy.flow.AnswerStream;
+import passhatch.proxy.flow.Relay;
+import passhatch.proxy.flow.RequestBody;
 
 /**
  * The only caller of the decision module: tells it what happens and does what it asks. It holds the state of
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -15,6 +15,14 @@
 import passhatch.Balancer.RequestClass;
 import passhatch.Balancer.Settings;
 import passhatch.Logic;
+import passhatch.proxy.backend.BackendPool;
+import passhatch.proxy.base.Clock;
+import passhatch.proxy.base.Descriptors;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.client.ClientServer;
+import passhatch.proxy.client.RequestParser;
+import passhatch.proxy.control.Control;
+import passhatch.proxy.flow.ByteBudget;
 
 /** One real proxy, from its start to its end. */
 public final class ProxyServer {
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -17,6 +17,8 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import passhatch.Logic;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.flow.RequestBody;
 
 /**
  * A proxy that serves a few requests of its own on loopback and ends. The build runs it so that the JVM can
--- a/src/main/java/passhatch/proxy/Succession.java
+++ b/src/main/java/passhatch/proxy/Succession.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import passhatch.proxy.base.EventLog;
 
 /**
  * Which processes of this proxy run: at a change of version the new one starts beside the old, and both share
--- a/src/main/java/passhatch/proxy/AnswerDecoder.java
+++ b/src/main/java/passhatch/proxy/backend/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.backend;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.backend;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -32,13 +32,21 @@
 import java.util.function.Supplier;
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
+import passhatch.proxy.base.Clock;
+import passhatch.proxy.base.Descriptors;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.flow.AnswerStream;
+import passhatch.proxy.flow.ByteBudget;
+import passhatch.proxy.flow.HeldBytes;
+import passhatch.proxy.flow.Relay;
+import passhatch.proxy.flow.RequestBody;
 
 /**
  * The connections to the backends. A connection carries one request at a time and is kept for the next.
  * Nothing is ever sent a second time from here, not on a stale connection either: whether to repeat is the
  * module's to decide.
  */
-final class BackendPool {
+public final class BackendPool {
 
     /** Idle connections kept to one backend: more only fill its table. */
     private static final int MOST_IDLE = 8;
@@ -57,14 +65,14 @@
      *
      * @param body of a 200 answer that was held, else null
      */
-    record Result(Outcome outcome, byte[] body, LoadReport report) {
-        static Result without(Outcome outcome) {
+    public record Result(Outcome outcome, byte[] body, LoadReport report) {
+        public static Result without(Outcome outcome) {
             return new Result(outcome, null, null);
         }
     }
 
     /** Hears of a call. */
-    interface Listener {
+    public interface Listener {
         /** The message was written whole. */
         default void written() { }
 
@@ -76,7 +84,7 @@
     }
 
     /** A call that may be given up. */
-    interface Handle {
+    public interface Handle {
         /** Closes its connection; it ends as cancelled unless it has ended already. */
         void cancel();
 
@@ -92,8 +100,8 @@
      * @param wanted asked just before it is written: false where it must not be sent any more
      * @param timeout how it ends when its time is up after it was written
      */
-    record Outgoing(Supplier<HttpRequest> message, RequestBody body, BooleanSupplier wanted, long timeoutUs,
-            Outcome timeout) { }
+    public record Outgoing(Supplier<HttpRequest> message, RequestBody body, BooleanSupplier wanted,
+            long timeoutUs, Outcome timeout) { }
 
     private final EventLoop loop;
     private final Clock clock;
@@ -111,7 +119,7 @@
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
      * @param descriptors shared with the callers' side
      */
-    BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
+    public BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
             long keepaliveUs, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
@@ -128,7 +136,7 @@
     }
 
     /** Closes connections that backends might soon close themselves; to be called now and then. */
-    void closeStale() {
+    public void closeStale() {
         long before = clock.nowUs() - idleUs;
         for (Deque<Connection> at : idle.values()) {
             while (!at.isEmpty() && at.peekLast().idleSinceUs <= before) {
@@ -139,7 +147,7 @@
     }
 
     /** Closes the idle connections to a backend. */
-    void closeIdle(InetSocketAddress address) {
+    public void closeIdle(InetSocketAddress address) {
         Deque<Connection> at = idle.remove(address);
         if (at != null) {
             at.forEach(c -> c.channel.close());
@@ -147,7 +155,7 @@
     }
 
     /** Sends a message to a backend, on a kept connection if there is one. */
-    Handle send(InetSocketAddress address, Outgoing outgoing, Listener listener) {
+    public Handle send(InetSocketAddress address, Outgoing outgoing, Listener listener) {
         Call call = new Call(outgoing, listener);
         Connection kept = takeIdle(address);
         if (kept == null && descriptors.backendsFull()) {
--- a/src/main/java/passhatch/proxy/LoadText.java
+++ b/src/main/java/passhatch/proxy/backend/LoadText.java
@@ -1,18 +1,18 @@
-package passhatch.proxy;
+package passhatch.proxy.backend;
 
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import passhatch.Balancer.LoadReport;
 
 /** Reads load reports such as {@code TEXT inflight=7, queue=2, util=0.61}. */
-final class LoadText {
+public final class LoadText {
 
     private static final Pattern FIGURE = Pattern.compile("([a-z_0-9]+)=([0-9.eE+-]+)");
 
     private LoadText() { }
 
     /** The report, or null where the text holds none. */
-    static LoadReport parse(String text) {
+    public static LoadReport parse(String text) {
         if (text == null) {
             return null;
         }
--- a/src/main/java/passhatch/proxy/Addresses.java
+++ b/src/main/java/passhatch/proxy/base/Addresses.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.base;
 
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -6,12 +6,12 @@
 import java.net.InetSocketAddress;
 
 /** Reads addresses. */
-final class Addresses {
+public final class Addresses {
 
     private Addresses() { }
 
     /** The address of a text like 10.0.0.4:5000; names are not looked up, as there is no DNS. */
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         if (ip == null) {
--- a/src/main/java/passhatch/proxy/Clock.java
+++ b/src/main/java/passhatch/proxy/base/Clock.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.base;
 
 import java.util.concurrent.TimeUnit;
 
@@ -7,17 +7,17 @@
  * monotonic clock. Unix times of discovery can be compared with it as they are, and a step of the wall clock
  * neither moves it back nor makes a known start time look like a new one.
  */
-final class Clock {
+public final class Clock {
 
     private final long originUs = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
     private final long originNs = System.nanoTime();
 
-    long nowUs() {
+    public long nowUs() {
         return originUs + (System.nanoTime() - originNs) / 1000;
     }
 
     /** A Unix time in milliseconds on this clock; 0, which stands for long ago, stays 0. */
-    static long fromUnixMs(long unixMs) {
+    public static long fromUnixMs(long unixMs) {
         return TimeUnit.MILLISECONDS.toMicros(unixMs);
     }
 }
--- a/src/main/java/passhatch/proxy/Descriptors.java
+++ b/src/main/java/passhatch/proxy/base/Descriptors.java
@@ -1,11 +1,11 @@
-package passhatch.proxy;
+package passhatch.proxy.base;
 
 /**
  * How the descriptors of this process are shared out between clients and backends. Connections to backends
  * are only as many as requests that are out and some that idle; all others are the clients', as thousands may
  * come and only a part of them ever sends a request.
  */
-final class Descriptors {
+public final class Descriptors {
 
     /** For the JVM's own files, the selector, the listeners and discovery. */
     private static final int OWN = 24;
@@ -24,43 +24,43 @@
      *
      * @param callers how many of operators' calls may be open at a time
      */
-    Descriptors(int callers) {
+    public Descriptors(int callers) {
         this.reserved = OWN + callers;
     }
 
     /** How many this process may hold from now on; those beyond go as new ones come. */
-    void limit(int most) {
+    public void limit(int most) {
         limit = most;
     }
 
-    void client(int change) {
+    public void client(int change) {
         clients += change;
     }
 
-    void backend(int change) {
+    public void backend(int change) {
         backends += change;
     }
 
-    int clients() {
+    public int clients() {
         return clients;
     }
 
-    int backends() {
+    public int backends() {
         return backends;
     }
 
     /** Whether one more connection to a backend needs another closed first. */
-    boolean backendsFull() {
+    public boolean backendsFull() {
         return backends >= (int) (limit * BACKEND_PART);
     }
 
     /** Whether more are held than may be. */
-    boolean over() {
+    public boolean over() {
         return clients + backends > limit - reserved;
     }
 
     /** Whether room gets scarce, so that no connection should stay without need. */
-    boolean crowded() {
+    public boolean crowded() {
         return clients + backends > (limit - reserved) * CROWDED_PART;
     }
 }
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/base/EventLog.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.base;
 
 import java.io.PrintStream;
 import java.time.Instant;
@@ -7,28 +7,28 @@
  * The proxy's log: one line per abnormal event, and with {@code -Dpasshatch.trace=true} one per step of each
  * request.
  */
-final class EventLog {
+public final class EventLog {
 
     private final PrintStream out;
     private final boolean tracing = Boolean.getBoolean("passhatch.trace");
 
-    EventLog(PrintStream out) {
+    public EventLog(PrintStream out) {
         this.out = out;
     }
 
-    void line(String text) {
+    public void line(String text) {
         out.println(Instant.now() + " " + text);
     }
 
     /** One step of a request: its take, its attempts, its end, the last byte of its answer. */
-    void trace(String step, String id, Object what) {
+    public void trace(String step, String id, Object what) {
         if (tracing) {
             line("trace " + step + " " + id + " " + what);
         }
     }
 
     /** An error in this program, with its trace: it is to be mended, not to be lived with. */
-    void bug(String text, Throwable cause) {
+    public void bug(String text, Throwable cause) {
         out.println(Instant.now() + " BUG " + text);
         cause.printStackTrace(out);
     }
--- a/src/main/java/passhatch/proxy/Answer.java
+++ b/src/main/java/passhatch/proxy/client/Answer.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.math.BigDecimal;
@@ -8,23 +8,23 @@
  *
  * @param retryAfter the value of Retry-After, or null
  */
-record Answer(HttpResponseStatus status, String retryAfter, byte[] body) {
+public record Answer(HttpResponseStatus status, String retryAfter, byte[] body) {
 
     private static final byte[] NO_BODY = {};
 
-    static Answer served(byte[] body) {
+    public static Answer served(byte[] body) {
         return new Answer(HttpResponseStatus.OK, null, body);
     }
 
     /** Promises that trying again is harmless. */
-    static Answer refused(long retryAfterUs) {
+    public static Answer refused(long retryAfterUs) {
         String seconds = retryAfterUs <= 0 ? null
                 : BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString();
         return new Answer(HttpResponseStatus.SERVICE_UNAVAILABLE, seconds, NO_BODY);
     }
 
     /** Promises nothing. */
-    static Answer failed() {
+    public static Answer failed() {
         return new Answer(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY);
     }
 
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -25,6 +25,9 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import passhatch.proxy.flow.AnswerStream;
+import passhatch.proxy.flow.Relay;
+import passhatch.proxy.flow.RequestBody;
 
 /** One client's connection. Answers leave in the order of the requests. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -18,9 +18,15 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import passhatch.proxy.base.Clock;
+import passhatch.proxy.base.Descriptors;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.flow.ByteBudget;
+import passhatch.proxy.flow.Relay;
+import passhatch.proxy.flow.RequestBody;
 
 /** The callers' side: takes requests over HTTP and gives each its one answer. */
-final class ClientServer {
+public final class ClientServer {
 
     private static final int BACKLOG = 1024;
     /** While a newer process takes over, one in so many answers sends its client away. */
@@ -61,8 +67,8 @@
      * @param budget of the bytes of bodies that are held
      * @param descriptors shared with the backends' side; where there are too few, some connection is closed
      */
-    ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, RequestHandler requests,
-            ByteBudget budget, Descriptors descriptors) {
+    public ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser,
+            RequestHandler requests, ByteBudget budget, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -75,7 +81,7 @@
     }
 
     /** Starts to listen and waits until it does. */
-    InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
+    public InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(Listener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 // At a change of version two processes listen here.
@@ -100,22 +106,22 @@
     }
 
     /** Whether requests should come here: the list is known, and connections are taken. */
-    boolean ready() {
+    public boolean ready() {
         return listener != null && listener.isActive() && !unready && requests.ready();
     }
 
     /** From now on callers that ask are told not to begin with this proxy. */
-    void unready() {
+    public void unready() {
         unready = true;
     }
 
     /** Lets each client go with its next answer. */
-    void sendAway() {
+    public void sendAway() {
         draining = true;
     }
 
     /** Whether clients should go over to a newer process, a few at a time. */
-    void share(boolean on) {
+    public void share(boolean on) {
         sharing = on;
     }
 
@@ -126,19 +132,19 @@
     }
 
     /** Takes no more connections; those open are served on. The order to end may come before it listens. */
-    void stopListening() {
+    public void stopListening() {
         if (listener != null) {
             listener.close();
         }
     }
 
     /** Closes the connections on which nothing is out, as clients expect between requests. */
-    void closeIdle() {
+    public void closeIdle() {
         unused().filter(c -> !c.started()).toList().forEach(ClientConnection::close);
     }
 
     /** Whether a request has begun to come in on any connection, and is not whole. */
-    boolean receiving() {
+    public boolean receiving() {
         return unused().anyMatch(ClientConnection::started);
     }
 
--- a/src/main/java/passhatch/proxy/Listener.java
+++ b/src/main/java/passhatch/proxy/client/Listener.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.ArrayList;
@@ -8,7 +8,7 @@
  * A listening socket that takes all connections that wait at it before it closes: the system would reset
  * them, though another process listens at the same address.
  */
-final class Listener extends NioServerSocketChannel {
+public final class Listener extends NioServerSocketChannel {
 
     @Override
     protected void doClose() throws Exception {
--- a/src/main/java/passhatch/proxy/ProxyRequest.java
+++ b/src/main/java/passhatch/proxy/client/ProxyRequest.java
@@ -1,6 +1,7 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.handler.codec.http.HttpMethod;
+import passhatch.proxy.flow.RequestBody;
 
 /**
  * A caller's request.
@@ -13,5 +14,5 @@
  * @param uri path and query, to go on unchanged
  * @param idempotencyKey the key of a keyed request, or null
  */
-record ProxyRequest(String id, int requestClass, int tenant, long budgetUs, long workUs, boolean retry,
+public record ProxyRequest(String id, int requestClass, int tenant, long budgetUs, long workUs, boolean retry,
         HttpMethod method, String uri, String idempotencyKey, RequestBody body) { }
--- a/src/main/java/passhatch/proxy/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/client/RequestDecoder.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
--- a/src/main/java/passhatch/proxy/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -1,7 +1,10 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
+
+import passhatch.proxy.flow.AnswerStream;
+import passhatch.proxy.flow.Relay;
 
 /** Where the callers' side takes its requests: each gets exactly one final answer. */
-interface RequestHandler {
+public interface RequestHandler {
 
     /** Where the final answer of a request goes. */
     interface Responder {
--- a/src/main/java/passhatch/proxy/RequestParser.java
+++ b/src/main/java/passhatch/proxy/client/RequestParser.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.client;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -11,9 +11,10 @@
 import java.util.regex.Pattern;
 import passhatch.Balancer.Effect;
 import passhatch.Balancer.RequestClass;
+import passhatch.proxy.flow.RequestBody;
 
 /** Turns a caller's HTTP request into a {@link ProxyRequest}, or says why it is none. */
-final class RequestParser {
+public final class RequestParser {
 
     private static final Pattern DEADLINE = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,9})?)([mu])");
     private static final Pattern ID = Pattern.compile("[\\x21-\\x7e]{1,128}");
@@ -38,7 +39,7 @@
     private final List<String> classNames;
     private final List<String> tenants;
 
-    RequestParser(List<RequestClass> classes, List<String> classNames, List<String> tenants) {
+    public RequestParser(List<RequestClass> classes, List<String> classNames, List<String> tenants) {
         this.classes = classes;
         this.classNames = classNames;
         this.tenants = tenants;
--- /dev/null
+++ b/src/main/java/passhatch/proxy/client/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' side: connections, requests, answers. */
+package passhatch.proxy.client;
--- a/src/main/java/passhatch/proxy/Control.java
+++ b/src/main/java/passhatch/proxy/control/Control.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.control;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -22,12 +22,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import passhatch.proxy.base.EventLog;
 
 /** The operators' side: one line to a connection, one answer, and the connection is closed. */
-final class Control {
+public final class Control {
 
     /** Callers at a time; for one more, the one that has been silent for longest is let go. */
-    static final int MOST_CALLERS = 16;
+    public static final int MOST_CALLERS = 16;
     private static final int BACKLOG = 128;
     private static final int LONGEST_LINE = 256;
     /** A caller that has sent no whole line by then is let go. */
@@ -46,7 +47,7 @@
      * @param ready whether this process is ready to serve
      * @param figures the figures as they are now, a line each
      */
-    Control(EventLoop loop, EventLog log, BooleanSupplier ready, Supplier<String> figures) {
+    public Control(EventLoop loop, EventLog log, BooleanSupplier ready, Supplier<String> figures) {
         this.loop = loop;
         this.log = log;
         this.ready = ready;
@@ -54,7 +55,7 @@
     }
 
     /** Starts to listen; a proxy that cannot be asked still serves, so the log says why and that is all. */
-    void listen(InetSocketAddress address) throws InterruptedException {
+    public void listen(InetSocketAddress address) throws InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -73,7 +74,7 @@
     }
 
     /** Where it listens, or null. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return listener == null ? null : (InetSocketAddress) listener.localAddress();
     }
 
--- a/src/main/java/passhatch/proxy/Figures.java
+++ b/src/main/java/passhatch/proxy/control/Figures.java
@@ -1,12 +1,12 @@
-package passhatch.proxy;
+package passhatch.proxy.control;
 
 import java.util.List;
 
 /** What this process has done since its start. All of it runs on the event loop, so plain fields do. */
-final class Figures {
+public final class Figures {
 
     /** How a request that was taken has ended. */
-    enum Ending {
+    public enum Ending {
         SERVED("success"),
         REFUSED("busy"),
         FAILED("failure");
@@ -25,22 +25,22 @@
     private long backendCalls;
 
     /** All counts at 0, for the classes of these names. */
-    Figures(List<String> classes) {
+    public Figures(List<String> classes) {
         this.classes = classes;
         this.ended = new long[Ending.values().length][classes.size()];
     }
 
-    void ended(int requestClass, Ending how) {
+    public void ended(int requestClass, Ending how) {
         ended[how.ordinal()][requestClass]++;
     }
 
     /** An attempt was written whole to a backend. */
-    void backendCall() {
+    public void backendCall() {
         backendCalls++;
     }
 
     /** The counts, and what else holds now, a line each. */
-    String text(int inFlight, int hostsListed, int hostsDown) {
+    public String text(int inFlight, int hostsListed, int hostsDown) {
         StringBuilder text = new StringBuilder();
         for (Ending how : Ending.values()) {
             for (int c = 0; c < classes.size(); c++) {
--- /dev/null
+++ b/src/main/java/passhatch/proxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** What operators ask, and the figures that they are told. */
+package passhatch.proxy.control;
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.discovery;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.bootstrap.Bootstrap;
@@ -30,12 +30,13 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import passhatch.proxy.base.EventLog;
 
 /**
  * Watches discovery for the list of backends. A watch that ends is taken up again from the last version
  * heard; where discovery will not do that, the whole list is fetched first.
  */
-final class Discovery {
+public final class Discovery {
 
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 2_000;
@@ -51,7 +52,7 @@
     private static final int LONGEST_LINE = 1 << 22;
 
     /** Hears what discovery says. */
-    interface Listener {
+    public interface Listener {
         void listed(EndpointList list);
 
         /** The call or the watch failed. */
@@ -80,11 +81,11 @@
      * @param zones names of the zones, by position
      * @param models names of the machine kinds, by position
      */
-    record Source(InetSocketAddress address, long index, boolean onRequest, List<String> zones,
+    public record Source(InetSocketAddress address, long index, boolean onRequest, List<String> zones,
             List<String> models) { }
 
     /** A watch that has not begun; the seed is of the pauses between two. */
-    Discovery(EventLoop loop, EventLog log, Source source, long seed, Listener listener) {
+    public Discovery(EventLoop loop, EventLog log, Source source, long seed, Listener listener) {
         this.loop = loop;
         this.log = log;
         this.source = source;
@@ -96,7 +97,7 @@
     }
 
     /** Goes on at another address; the watch at the old one is given up. */
-    void moveTo(InetSocketAddress to) {
+    public void moveTo(InetSocketAddress to) {
         address = to;
         Channel old = channel;
         current = null;
@@ -107,7 +108,7 @@
     }
 
     /** Starts a watch unless one is out; one that ends is taken up again unless the module asks. */
-    void watch() {
+    public void watch() {
         if (stopped || current != null) {
             return;
         }
@@ -140,7 +141,7 @@
         channel.closeFuture().addListener(closed -> ended(watch));
     }
 
-    void stop() {
+    public void stop() {
         stopped = true;
         if (channel != null) {
             channel.close();
--- a/src/main/java/passhatch/proxy/EndpointList.java
+++ b/src/main/java/passhatch/proxy/discovery/EndpointList.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.discovery;
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -6,6 +6,8 @@
 import java.util.Map;
 import passhatch.Balancer.Server;
 import passhatch.Balancer.ServerStatus;
+import passhatch.proxy.base.Addresses;
+import passhatch.proxy.base.Clock;
 
 /**
  * One message of discovery.
@@ -13,14 +15,14 @@
  * @param index its version
  * @param whole true where it holds the whole list, false where it holds changes
  */
-record EndpointList(long index, boolean whole, List<Endpoint> endpoints) {
+public record EndpointList(long index, boolean whole, List<Endpoint> endpoints) {
 
-    static final EndpointList EMPTY = new EndpointList(0, true, List.of());
+    public static final EndpointList EMPTY = new EndpointList(0, true, List.of());
 
     /** A backend and where this proxy reaches it. */
-    record Endpoint(Server server, InetSocketAddress address) { }
+    public record Endpoint(Server server, InetSocketAddress address) { }
 
-    List<Server> servers() {
+    public List<Server> servers() {
         return endpoints.stream().map(Endpoint::server).toList();
     }
 
@@ -30,7 +32,7 @@
      * @throws IllegalArgumentException where any of it is malformed: half a list would pass off the backends
      *     that it lacks as gone
      */
-    static EndpointList of(Map<String, Object> json, List<String> zones, List<String> models) {
+    public static EndpointList of(Map<String, Object> json, List<String> zones, List<String> models) {
         List<Endpoint> endpoints = new ArrayList<>();
         for (Object item : typed(json, "endpoints", List.class)) {
             if (!(item instanceof Map<?, ?> line)) {
--- a/src/main/java/passhatch/proxy/AnswerStream.java
+++ b/src/main/java/passhatch/proxy/flow/AnswerStream.java
@@ -1,9 +1,9 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 import io.netty.channel.Channel;
 
 /** A 200 answer that goes on as it comes, as it is too long to be held. Nothing is read from it yet. */
-interface AnswerStream {
+public interface AnswerStream {
 
     /** Its length, or -1 where its end will show. */
     long length();
--- a/src/main/java/passhatch/proxy/ByteBudget.java
+++ b/src/main/java/passhatch/proxy/flow/ByteBudget.java
@@ -1,12 +1,12 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 /** The bytes of bodies that this process holds on their way, over all connections, and how many it may. */
-final class ByteBudget {
+public final class ByteBudget {
 
     private final long most;
     private long held;
 
-    ByteBudget(long most) {
+    public ByteBudget(long most) {
         this.most = most;
     }
 
--- a/src/main/java/passhatch/proxy/HeldBytes.java
+++ b/src/main/java/passhatch/proxy/flow/HeldBytes.java
@@ -1,21 +1,21 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 
 /** The start of a body, or all of a short one, that is held back for a while within the byte budget. */
-final class HeldBytes {
+public final class HeldBytes {
 
     private final ByteBudget budget;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(0);
 
-    HeldBytes(ByteBudget budget) {
+    public HeldBytes(ByteBudget budget) {
         this.budget = budget;
     }
 
     /** Copies what the buffer holds; it stays the caller's. */
-    void add(ByteBuf buffer) {
+    public void add(ByteBuf buffer) {
         budget.add(buffer.readableBytes());
         try {
             buffer.getBytes(buffer.readerIndex(), bytes, buffer.readableBytes());
@@ -24,7 +24,7 @@
         }
     }
 
-    int size() {
+    public int size() {
         return bytes.size();
     }
 
@@ -33,13 +33,13 @@
     }
 
     /** Hands all of it over. */
-    byte[] take() {
+    public byte[] take() {
         byte[] all = copy();
         drop();
         return all;
     }
 
-    void drop() {
+    public void drop() {
         budget.remove(bytes.size());
         bytes.reset();
     }
--- a/src/main/java/passhatch/proxy/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -16,23 +16,23 @@
  * before that channel and too many are held over all connections. A relay with nothing on its way never
  * waits for others, so one that is slow cannot stop the rest.
  */
-final class Relay {
+public final class Relay {
 
     /** When a connection counts as full, and as free again. */
-    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 16);
+    public static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 16);
     /** What is read at a time, as all of it is held until it has gone on. */
-    static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
+    public static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
 
     /** Peers take seconds to read or write; one that does nothing for this long has gone. */
     private static final long STALL_MS = 30_000;
 
     /** Where the bytes come from. */
-    interface Source {
+    public interface Source {
         void read(boolean on);
     }
 
     /** Hears how the passing on ended, once; not after {@link #stop}. */
-    interface Listener {
+    public interface Listener {
         /** All of it has gone out. */
         void passed();
 
@@ -50,7 +50,7 @@
     private boolean over;
     private Future<?> watch;
 
-    Relay(EventLoop loop, ByteBudget budget, Source source, Channel to, Listener listener) {
+    public Relay(EventLoop loop, ByteBudget budget, Source source, Channel to, Listener listener) {
         this.loop = loop;
         this.budget = budget;
         this.source = source;
@@ -71,7 +71,7 @@
     }
 
     /** Passes bytes on; the buffer is the relay's from now on. */
-    void pass(ByteBuf bytes) {
+    public void pass(ByteBuf bytes) {
         if (over || !bytes.isReadable()) {
             bytes.release();
             return;
@@ -96,7 +96,7 @@
     }
 
     /** The source has given all. */
-    void finish() {
+    public void finish() {
         if (over) {
             return;
         }
@@ -105,7 +105,7 @@
     }
 
     /** Nothing more is passed on, and nothing more is heard. */
-    void stop() {
+    public void stop() {
         over = true;
         source = null;
         watch.cancel(false);
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/flow/RequestBody.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,12 +9,12 @@
  * The body of a request, from its client's connection to a backend's. A short one is kept, so it may be sent
  * more than once. A long one goes to one backend as it comes, and what has gone cannot be sent again.
  */
-final class RequestBody {
+public final class RequestBody {
 
     /** A body of up to this size is kept. */
-    static final int MOST_KEPT = 1 << 16;
+    public static final int MOST_KEPT = 1 << 16;
     /** There is none longer than this, in answers neither. */
-    static final int MOST = 1 << 25;
+    public static final int MOST = 1 << 25;
 
     private final EventLoop loop;
     private final ByteBudget budget;
@@ -33,7 +33,7 @@
      * @param declared its length as its head says, or -1
      * @param source the client's connection
      */
-    RequestBody(EventLoop loop, ByteBudget budget, long declared, Relay.Source source) {
+    public RequestBody(EventLoop loop, ByteBudget budget, long declared, Relay.Source source) {
         this.loop = loop;
         this.budget = budget;
         this.held = new HeldBytes(budget);
@@ -42,36 +42,36 @@
     }
 
     /** The length that its head declares, or -1 where it tells none. */
-    long declared() {
+    public long declared() {
         return declared;
     }
 
     /** How much has come so far. */
-    long size() {
+    public long size() {
         return size;
     }
 
-    boolean ended() {
+    public boolean ended() {
         return ended;
     }
 
     /** Whether it is too long to be kept, as far as it has come. */
-    boolean isLong() {
+    public boolean isLong() {
         return size > MOST_KEPT;
     }
 
     /** Whether a backend may still be sent all of it. */
-    boolean canBeSent() {
+    public boolean canBeSent() {
         return !spent;
     }
 
     /** All of a short body, once it has ended. */
-    byte[] kept() {
+    public byte[] kept() {
         return held.copy();
     }
 
     /** Bytes that came from the client; they stay the caller's. */
-    void add(ByteBuf bytes) {
+    public void add(ByteBuf bytes) {
         size += bytes.readableBytes();
         if (relay != null) {
             relay.pass(bytes.retain());
@@ -84,7 +84,7 @@
     }
 
     /** The client has sent all of it. */
-    void end() {
+    public void end() {
         ended = true;
         if (relay != null) {
             relay.finish();
@@ -92,7 +92,7 @@
     }
 
     /** Sends a long body to a backend from its first byte on, after the head. */
-    void sendTo(Channel backend, Relay.Listener listener) {
+    public void sendTo(Channel backend, Relay.Listener listener) {
         spent = true;
         relay = new Relay(loop, budget, source, backend, listener);
         relay.pass(Unpooled.wrappedBuffer(held.take()));
@@ -102,7 +102,7 @@
     }
 
     /** The backend that it went to takes no more of it. */
-    void cut() {
+    public void cut() {
         if (relay != null) {
             relay.stop();
             relay = null;
@@ -111,7 +111,7 @@
     }
 
     /** Nobody wants it any more; what still comes is dropped. */
-    void drop() {
+    public void drop() {
         spent = true;
         cut();
         held.drop();
--- a/src/test/java/passhatch/proxy/ControlTest.java
+++ b/src/test/java/passhatch/proxy/ControlTest.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.control.Control;
 
 /** What operators ask at the second address, and what they are told. */
 @Timeout(60)
--- a/src/test/java/passhatch/proxy/HandoverTest.java
+++ b/src/test/java/passhatch/proxy/HandoverTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.client.Listener;
 
 /** The parts of a change of version. */
 @Timeout(60)
--- a/src/test/java/passhatch/proxy/Http.java
+++ b/src/test/java/passhatch/proxy/Http.java
@@ -14,12 +14,12 @@
 import java.util.TreeMap;
 
 /** One end of an HTTP/1.1 connection, byte by byte as a test wants it. */
-final class Http implements Closeable {
+public final class Http implements Closeable {
 
-    static final int PATIENCE_MS = 20_000;
+    public static final int PATIENCE_MS = 20_000;
 
     /** A request or an answer as it came. */
-    record Message(String start, Map<String, String> headers, byte[] body) {
+    public record Message(String start, Map<String, String> headers, byte[] body) {
         int status() {
             return Integer.parseInt(start.split(" ")[1]);
         }
@@ -38,7 +38,7 @@
         void headIn() throws IOException;
     }
 
-    final Socket socket;
+    public final Socket socket;
     private HeadListener onHead = () -> { };
     private final InputStream in;
 
@@ -53,16 +53,16 @@
         return new Http(new Socket(address.getAddress(), address.getPort()));
     }
 
-    void write(String text) throws IOException {
+    public void write(String text) throws IOException {
         write(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    void write(byte[] bytes) throws IOException {
+    public void write(byte[] bytes) throws IOException {
         socket.getOutputStream().write(bytes);
         socket.getOutputStream().flush();
     }
 
-    void answer(String status, String body) throws IOException {
+    public void answer(String status, String body) throws IOException {
         write("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
@@ -135,7 +135,7 @@
     }
 
     /** Breaks the connection off with a reset. */
-    void reset() throws IOException {
+    public void reset() throws IOException {
         socket.setSoLinger(true, 0);
         socket.close();
     }
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -30,6 +30,9 @@
 import passhatch.Balancer;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.Http.Message;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.discovery.Discovery;
+import passhatch.proxy.discovery.EndpointList;
 
 /** The whole proxy over loopback sockets, between scripted callers, backends and discovery. */
 @Timeout(60)
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import passhatch.proxy.Http.Message;
+import passhatch.proxy.base.EventLog;
 
 /** A proxy under test with the discovery it watches. Lists of backends are handed in line by line. */
 final class Rig implements Closeable {
--- a/src/test/java/passhatch/proxy/ScriptedServer.java
+++ b/src/test/java/passhatch/proxy/ScriptedServer.java
@@ -12,41 +12,41 @@
 import passhatch.proxy.Http.Message;
 
 /** A small backend, or discovery, on loopback that does with each request what its script says. */
-final class ScriptedServer implements Closeable {
+public final class ScriptedServer implements Closeable {
 
     /** What to do with one request. */
-    interface Script {
+    public interface Script {
         void handle(Http connection, Message request) throws IOException, InterruptedException;
     }
 
     /** Leaves the request without an answer. */
-    static final Script SILENT = (connection, request) -> { };
+    public static final Script SILENT = (connection, request) -> { };
 
-    final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+    public final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
     final BlockingQueue<Http> ended = new LinkedBlockingQueue<>();
-    final AtomicInteger connections = new AtomicInteger();
+    public final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket listener;
     private final Script script;
     private volatile Runnable onHead = () -> { };
     private volatile String atHead;
 
-    ScriptedServer(Script script) throws IOException {
+    public ScriptedServer(Script script) throws IOException {
         this.script = script;
         this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
     /** A backend that answers every request with its own text. */
-    static ScriptedServer saying(String text) throws IOException {
+    public static ScriptedServer saying(String text) throws IOException {
         return new ScriptedServer((connection, request) -> connection.answer("200 OK", text));
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
     /** The next request received. */
-    Message next() throws InterruptedException {
+    public Message next() throws InterruptedException {
         Message message = received.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
         if (message == null) {
             throw new AssertionError("no request came");
@@ -55,7 +55,7 @@
     }
 
     /** Waits until the other side has ended a connection. */
-    void awaitEnded() throws InterruptedException {
+    public void awaitEnded() throws InterruptedException {
         if (ended.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS) == null) {
             throw new AssertionError("no connection was ended");
         }
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.backend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -28,9 +28,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import passhatch.Balancer.Outcome;
-import passhatch.proxy.BackendPool.Handle;
-import passhatch.proxy.BackendPool.Outgoing;
-import passhatch.proxy.BackendPool.Result;
+import passhatch.proxy.backend.BackendPool.Handle;
+import passhatch.proxy.backend.BackendPool.Outgoing;
+import passhatch.proxy.backend.BackendPool.Result;
+import passhatch.proxy.Http;
+import passhatch.proxy.ScriptedServer;
+import passhatch.proxy.base.Clock;
+import passhatch.proxy.base.Descriptors;
+import passhatch.proxy.base.EventLog;
+import passhatch.proxy.flow.ByteBudget;
 
 /** The pool against scripted backends: what each way to end on the wire counts as. */
 @Timeout(60)
--- a/src/test/java/passhatch/proxy/RelayTest.java
+++ b/src/test/java/passhatch/proxy/flow/RelayTest.java
@@ -1,4 +1,4 @@
-package passhatch.proxy;
+package passhatch.proxy.flow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
