--- /dev/null
+++ b/src/main/java/passhatch/cli/Commands.java
@@ -0,0 +1,119 @@
+package passhatch.cli;
+
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import passhatch.adapter.Adapter;
+import passhatch.proxy.ProxyServer;
+import passhatch.proxy.Rehearsal;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.ParameterException;
+
+/**
+ * The commands with their options and help. Exit codes: 0 done, 1 failed while it ran, 2 wrong use or a file
+ * that cannot be used; an error is one line.
+ */
+public final class Commands {
+
+    /** The exit status of a command that failed while it ran. */
+    public static final int FAILED = 1;
+    /** The exit status of wrong use. */
+    public static final int USAGE = 2;
+
+    private Commands() { }
+
+    /** The whole command line, to which tools outside the deployed jar add commands of their own. */
+    public static CommandLine line() {
+        CommandLine line = new CommandLine(new Root());
+        line.addSubcommand(new Serve()).addSubcommand(new Decide()).addSubcommand(new Rehearse());
+        return oneLineErrors(line);
+    }
+
+    /** Has errors told in one line, without the usage text. */
+    public static CommandLine oneLineErrors(CommandLine line) {
+        line.setParameterExceptionHandler(Commands::wrongUse);
+        line.setExecutionExceptionHandler((failure, at, parsed) -> {
+            at.getErr().println("passhatch: " + (failure.getMessage() == null ? failure
+                    : failure.getMessage()));
+            return failure instanceof BadInput ? USAGE : FAILED;
+        });
+        return line;
+    }
+
+    static int run(String[] args) {
+        return line().execute(args);
+    }
+
+    private static int wrongUse(ParameterException bad, String[] args) {
+        CommandLine at = bad.getCommandLine();
+        PrintWriter err = at.getErr();
+        err.println("passhatch: " + bad.getMessage().lines().findFirst().orElse("wrong use") + "; see '"
+                + at.getCommandSpec().qualifiedName() + " --help'");
+        return USAGE;
+    }
+
+    /** A file or value that a command was given and cannot use; its message is one line. */
+    public static final class BadInput extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        /** The message names the file and the place in it. */
+        public BadInput(String message) {
+            super(message);
+        }
+    }
+
+    @Command(name = "passhatch", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "A load-balancing HTTP/1.1 proxy for services that call services.",
+            footer = {"", "The tools around it (drill) are in passhatch-lab.jar."})
+    private static final class Root implements Runnable {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new ParameterException(spec.commandLine(), "no command is given");
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description =
+                    "Runs one proxy, as PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_CONFIG say.")
+    private static final class Serve implements Callable<Integer> {
+        @Override
+        public Integer call() throws InterruptedException {
+            return ProxyServer.serve(System.getenv(), System.err);
+        }
+    }
+
+    @Command(name = "adapter", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Decides for a simulator: batches on standard input, replies on standard output.")
+    private static final class Decide implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Adapter.run(new FileInputStream(FileDescriptor.in),
+                    new FileOutputStream(FileDescriptor.out), System.err);
+        }
+    }
+
+    @Command(name = "rehearse", mixinStandardHelpOptions = true, versionProvider = Version.class,
+            description = "Serves a few requests of its own, for the build's archive of the classes in use.")
+    private static final class Rehearse implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Rehearsal.runOrSay(System.err);
+        }
+    }
+
+    /** Read from the jar's manifest. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Commands.class.getPackage().getImplementationVersion();
+            return new String[] {"passhatch " + (version == null ? "(not packaged)" : version)};
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package passhatch.cli;
--- /dev/null
+++ b/src/main/java/passhatch/lab/LabLog.java
@@ -0,0 +1,38 @@
+package passhatch.lab;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.FileAppender;
+import java.nio.file.Path;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Where the tools' own log goes: one line of JSON an event. */
+public final class LabLog {
+
+    private static final String APPENDER = "file";
+
+    private LabLog() { }
+
+    /** Sends it to a file from now on, instead of the one before. */
+    public static void to(Path file) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        var root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        var before = root.getAppender(APPENDER);
+        if (before != null) {
+            root.detachAppender(before);
+            before.stop();
+        }
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.start();
+        FileAppender<ILoggingEvent> appender = new FileAppender<>();
+        appender.setContext(context);
+        appender.setName(APPENDER);
+        appender.setFile(file.toString());
+        appender.setEncoder(encoder);
+        appender.start();
+        root.addAppender(appender);
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/Main.java
@@ -0,0 +1,21 @@
+package passhatch.lab;
+
+import passhatch.cli.Commands;
+import passhatch.lab.drill.DrillCommand;
+import picocli.CommandLine;
+
+/** Where the tools start: the program's own commands, and those that only the lab has. */
+public final class Main {
+
+    private Main() { }
+
+    /** Runs the command and exits with its status. */
+    public static void main(String[] args) {
+        System.setProperty("java.awt.headless", "true");
+        System.exit(line().execute(args));
+    }
+
+    static CommandLine line() {
+        return Commands.oneLineErrors(Commands.line().addSubcommand(DrillCommand.line()));
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drill/Comparison.java
@@ -0,0 +1,107 @@
+package passhatch.lab.drill;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.apache.commons.statistics.descriptive.Mean;
+import org.apache.commons.statistics.descriptive.Variance;
+import org.apache.commons.statistics.distribution.TDistribution;
+
+/**
+ * Two sets of runs side by side: of each measure both means, and the difference with its confidence interval
+ * by Welch's method, which does not take the spreads for equal. With one run on a side there is no interval.
+ */
+final class Comparison {
+
+    private static final double LEVEL = 0.95;
+
+    /**
+     * One measure.
+     *
+     * @param low lower end of the interval of the difference, B less A; not a number without repeats
+     */
+    record Row(String measure, double a, double b, double difference, double low, double high) {
+        /** Whether the interval leaves no difference out. */
+        boolean differs() {
+            return low > 0 || high < 0;
+        }
+    }
+
+    private Comparison() { }
+
+    static List<Row> of(List<Result> a, List<Result> b) {
+        Map<String, double[]> left = measures(a);
+        Map<String, double[]> right = measures(b);
+        List<Row> rows = new ArrayList<>();
+        left.forEach((name, values) -> {
+            if (right.containsKey(name)) {
+                rows.add(row(name, values, right.get(name)));
+            }
+        });
+        return rows;
+    }
+
+    private static Map<String, double[]> measures(List<Result> results) {
+        Map<String, double[]> all = new LinkedHashMap<>();
+        all.put("served share", results.stream().mapToDouble(Result::servedShare).toArray());
+        for (String name : results.get(0).counts().keySet()) {
+            all.put(name, results.stream().mapToDouble(r -> r.counts().get(name)).toArray());
+        }
+        for (String name : results.get(0).latencyMs().keySet()) {
+            all.put(name + " ms", results.stream().mapToDouble(r -> r.latencyMs().get(name)).toArray());
+        }
+        for (int i = 0; i < results.get(0).recoveries().size(); i++) {
+            int at = i;
+            if (results.stream().allMatch(r -> r.recoveries().size() > at && r.recoveries().get(at)
+                    .ms() != null)) {
+                all.put("recovery ms, " + results.get(0).recoveries().get(i).fault(),
+                        results.stream().mapToDouble(r -> r.recoveries().get(at).ms()).toArray());
+            }
+        }
+        return all;
+    }
+
+    static Row row(String name, double[] a, double[] b) {
+        double meanA = mean(a);
+        double meanB = mean(b);
+        if (a.length < 2 || b.length < 2) {
+            return new Row(name, meanA, meanB, meanB - meanA, Double.NaN, Double.NaN);
+        }
+        double errorA = variance(a) / a.length;
+        double errorB = variance(b) / b.length;
+        double error = errorA + errorB;
+        if (error == 0) {
+            return new Row(name, meanA, meanB, meanB - meanA, meanB - meanA, meanB - meanA);
+        }
+        double freedom = error * error / (errorA * errorA / (a.length - 1) + errorB * errorB / (b.length
+                - 1));
+        double half = TDistribution.of(freedom).inverseCumulativeProbability((1 + LEVEL) / 2) * Math.sqrt(
+                error);
+        return new Row(name, meanA, meanB, meanB - meanA, meanB - meanA - half, meanB - meanA + half);
+    }
+
+    private static double mean(double[] values) {
+        return Mean.of(values).getAsDouble();
+    }
+
+    private static double variance(double[] values) {
+        return Variance.of(values).getAsDouble();
+    }
+
+    static String text(List<Row> rows) {
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-40s %12s %12s %12s   %s%n", "",
+                "A", "B",
+                "B - A", "95 % interval"));
+        for (Row row : rows) {
+            String interval = Double.isNaN(row.low()) ? "(needs repeats)"
+                    : String.format(Locale.ROOT, "%.4f to %.4f%s", row.low(), row.high(),
+                            row.differs() ? "  differs" : "");
+            text.append(String.format(Locale.ROOT, "%-40s %12.4f %12.4f %12.4f   %s%n", row.measure(),
+                    row.a(),
+                    row.b(), row.difference(), interval));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drill/DrillCommand.java
@@ -0,0 +1,213 @@
+package passhatch.lab.drill;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.Stream;
+import me.tongfei.progressbar.ProgressBar;
+import me.tongfei.progressbar.ProgressBarBuilder;
+import passhatch.cli.Commands.BadInput;
+import passhatch.lab.LabLog;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The command {@code drill} with what belongs to it. */
+@Command(name = "drill", mixinStandardHelpOptions = true,
+        description = "Runs real processes of the program with faults between them.")
+public final class DrillCommand implements Runnable {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String RESULT = "result.json";
+
+    @Spec
+    private CommandSpec spec;
+
+    private DrillCommand() { }
+
+    /** The command with its own commands. */
+    public static CommandLine line() {
+        return new CommandLine(new DrillCommand()).addSubcommand(new Run()).addSubcommand(new Check())
+                .addSubcommand(new Compare());
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+                "no command is given: run, check or compare");
+    }
+
+    /** Runs a scenario, as often as is wanted. */
+    @Command(name = "run", mixinStandardHelpOptions = true,
+            description = "Runs a scenario. Exit code 0 only if all that it expects holds.")
+    private static final class Run implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "FILE", description = "The scenario, in TOML.")
+        private Path file;
+        @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/drill",
+                description = "Where all files go (default: ${DEFAULT-VALUE}); one folder for each repeat.")
+        private Path out;
+        @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "Runs it so often.")
+        private int repeat;
+        @Option(names = "--jar", paramLabel = "JAR", description = "The program (default: beside this tool).")
+        private Path jar;
+        @Option(names = "--jvm", paramLabel = "OPTION", description =
+                "An option more for the program's JVMs.")
+        private List<String> options = new ArrayList<>();
+        @Option(names = "--quiet", description = "No line of progress.")
+        private boolean quiet;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            Scenario scenario = ScenarioReader.read(file);
+            if (repeat < 1) {
+                throw new BadInput("--repeat: expected 1 or more");
+            }
+            Path program = program(jar);
+            boolean holds = true;
+            for (int i = 1; i <= repeat; i++) {
+                Path folder = out.resolve(scenario.name()).resolve(String.valueOf(i)).toAbsolutePath();
+                clear(folder);
+                LabLog.to(folder.resolve("lab.jsonl"));
+                holds &= report(run(new Drill(scenario, program, folder, options), scenario), folder);
+            }
+            return holds ? 0 : 1;
+        }
+
+        private Result run(Drill drill, Scenario scenario) throws IOException, InterruptedException {
+            if (quiet) {
+                return drill.run((ms, ended) -> { });
+            }
+            try (ProgressBar bar = new ProgressBarBuilder().setTaskName(scenario.name())
+                    .setInitialMax(scenario.duration().toMillis()).setUnit(" s", 1_000).hideEta().build()) {
+                return drill.run((ms, ended) -> {
+                    bar.stepTo(Math.max(0, Math.min(ms, scenario.duration().toMillis())));
+                    bar.setExtraMessage(ended[0] + " ended, " + ended[1] + " served");
+                });
+            }
+        }
+
+        private boolean report(Result result, Path folder) {
+            PrintWriter text = spec.commandLine().getOut();
+            result.counts().forEach((name, n) -> text.printf(Locale.ROOT, "%-18s %10d%n", name, n));
+            text.printf(Locale.ROOT, "%-18s %10.4f%n", "served share", result.servedShare());
+            result.latencyMs().forEach((name, ms) ->
+                    text.printf(Locale.ROOT, "%-18s %10.2f ms%n", "latency " + name, ms));
+            text.printf(Locale.ROOT, "%-18s %10.2f ms (99th percentile; void over the bound)%n", "sent late",
+                    result.behindMs().get("p99"));
+            result.recoveries().forEach(r -> text.printf(Locale.ROOT, "%-18s %10s after '%s' at %d ms%n",
+                    "recovery",
+                    r.ms() == null ? "not back" : r.ms() + " ms", r.fault(), r.atMs()));
+            result.broken().forEach(b -> text.println("NOT as expected: " + b));
+            if (result.invalid() != null) {
+                text.println("VOID: " + result.invalid());
+            }
+            text.println((result.holds() ? "All that was expected holds. " : "") + "Report: "
+                    + folder.resolve("report.html"));
+            text.flush();
+            return result.holds();
+        }
+    }
+
+    /** Checks scenarios without running them. */
+    @Command(name = "check", mixinStandardHelpOptions = true, description =
+            "Checks scenarios and runs nothing.")
+    private static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "FILE", arity = "1..*", description = "Scenarios, in TOML.")
+        private List<Path> files;
+
+        @Override
+        public Integer call() {
+            int bad = 0;
+            for (Path file : files) {
+                try {
+                    Scenario scenario = ScenarioReader.read(file);
+                    spec.commandLine().getOut().println(file + ": good, " + FaultPlan.of(scenario).size()
+                            + " steps");
+                } catch (BadInput wrong) {
+                    spec.commandLine().getErr().println("passhatch: " + wrong.getMessage());
+                    bad++;
+                }
+            }
+            return bad == 0 ? 0 : 2;
+        }
+    }
+
+    /** Sets the results of two folders side by side. */
+    @Command(name = "compare", mixinStandardHelpOptions = true,
+            description =
+                    "Sets two drills' results side by side, with confidence intervals over their repeats.")
+    private static final class Compare implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "A", description = "Folder of a drill's repeats.")
+        private Path a;
+        @Parameters(index = "1", paramLabel = "B", description = "Folder of another's.")
+        private Path b;
+
+        @Override
+        public Integer call() throws IOException {
+            spec.commandLine().getOut().print(Comparison.text(Comparison.of(results(a), results(b))));
+            return 0;
+        }
+
+        private static List<Result> results(Path folder) throws IOException {
+            List<Path> files;
+            try (Stream<Path> below = Files.walk(folder, 2)) {
+                files = below.filter(p -> p.endsWith(RESULT)).sorted().toList();
+            } catch (IOException none) {
+                throw new BadInput(folder + ": cannot be read: " + none);
+            }
+            if (files.isEmpty()) {
+                throw new BadInput(folder + ": expected a folder with results (" + RESULT + ")");
+            }
+            List<Result> all = new ArrayList<>();
+            for (Path file : files) {
+                all.add(JSON.readValue(file.toFile(), Result.class));
+            }
+            return all;
+        }
+    }
+
+    private static void clear(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            try (Stream<Path> below = Files.walk(folder)) {
+                for (Path old : below.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                    Files.delete(old);
+                }
+            }
+        }
+        Files.createDirectories(folder);
+    }
+
+    private static Path program(Path given) {
+        Path jar = given != null ? given : besideThis();
+        if (!Files.isRegularFile(jar)) {
+            throw new BadInput(jar + ": there is no such program; build it, or name it with --jar");
+        }
+        return jar.toAbsolutePath();
+    }
+
+    private static Path besideThis() {
+        try {
+            Path own = Path.of(DrillCommand.class.getProtectionDomain().getCodeSource().getLocation()
+                    .toURI());
+            return own.resolveSibling("passhatch.jar");
+        } catch (URISyntaxException cannotBe) {
+            throw new IllegalStateException(cannotBe);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drill/EventFile.java
@@ -0,0 +1,67 @@
+package passhatch.lab.drill;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedWriter;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** All that happened in a drill: one line of JSON each, with the time after the load's begin. */
+final class EventFile implements Closeable {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Something that happened; the time in milliseconds is negative before the load. */
+    record Event(long atMs, String what, Map<String, Object> more) { }
+
+    private final BufferedWriter out;
+    private final List<Event> all = new ArrayList<>();
+    private long zeroNs = System.nanoTime();
+
+    EventFile(Path file) throws IOException {
+        out = Files.newBufferedWriter(file);
+    }
+
+    /** The load begins at this time of {@link System#nanoTime}. */
+    synchronized void zero(long ns) {
+        zeroNs = ns;
+    }
+
+    /** Writes one down; the keys and values come in turn. */
+    synchronized void add(String what, Object... more) {
+        long atMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - zeroNs);
+        Map<String, Object> details = new LinkedHashMap<>();
+        for (int i = 0; i + 1 < more.length; i += 2) {
+            details.put((String) more[i], more[i + 1]);
+        }
+        all.add(new Event(atMs, what, details));
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("time", Instant.now().toString());
+        line.put("at_ms", atMs);
+        line.put("event", what);
+        line.putAll(details);
+        try {
+            out.write(JSON.writeValueAsString(line));
+            out.newLine();
+            out.flush();
+        } catch (IOException failed) {
+            throw new java.io.UncheckedIOException("the file of events cannot be written", failed);
+        }
+    }
+
+    synchronized List<Event> all() {
+        return List.copyOf(all);
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        out.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drill/Field.java
@@ -0,0 +1,129 @@
+package passhatch.lab.drill;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.DatagramSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import passhatch.lab.Seeds;
+import passhatch.lab.standin.BackendServer;
+import passhatch.lab.standin.DiscoveryServer;
+import passhatch.lab.standin.Ledger;
+import passhatch.lab.standin.ServiceTime;
+import passhatch.lab.standin.UdpRelay;
+
+/** All that a drill has running: the stand-ins, and the processes of the program between them. */
+final class Field implements Closeable {
+
+    /** Longer than the program may take to end: the longest deadline that counts and 0.7 s. */
+    private static final long END_PATIENCE_MS = 5_000;
+    private static final int STAND_IN_THREADS = 2;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(STAND_IN_THREADS,
+            new DefaultThreadFactory("stand-in", true), NioIoHandler.newFactory());
+    final Ledger ledger = new Ledger();
+    final DiscoveryServer discovery = new DiscoveryServer(group.next());
+    final List<BackendServer> backends = new ArrayList<>();
+    final List<ProxyChild> proxies = new ArrayList<>();
+    UdpRelay relay;
+    /** Ends the processes also where this JVM is told to end. */
+    private final Thread lastResort = new Thread(this::endNow, "end-of-drill");
+    private boolean closed;
+
+    /** Starts the stand-ins; the processes are made and not started. */
+    Field(Scenario scenario, Seeds seeds, Path jar, Path folder, List<String> options) throws IOException {
+        Runtime.getRuntime().addShutdownHook(lastResort);
+        try {
+            discovery.start();
+            List<DiscoveryServer.Entry> list = new ArrayList<>();
+            for (int i = 1; i <= scenario.backends().count(); i++) {
+                String name = "backend-" + i;
+                BackendServer backend = new BackendServer(name, shape(scenario.backends()), group.next(),
+                        ledger,
+                        seeds.stream(name));
+                backend.start();
+                backends.add(backend);
+                list.add(new DiscoveryServer.Entry(name, backend.address(), "SERVING", 0));
+            }
+            discovery.update(list);
+            relay = new UdpRelay(scenario.proxies().count(), seeds.stream("relay"));
+            var shared = new ProxyChild.Shared(jar, folder, scenario, discovery.address(), options);
+            for (int i = 0; i < scenario.proxies().count(); i++) {
+                InetSocketAddress peerListen = freeDatagramPort();
+                relay.listens(i, peerListen);
+                proxies.add(new ProxyChild(i, shared, relay.peersOf(i), peerListen));
+            }
+        } catch (IOException | RuntimeException failed) {
+            close();
+            throw failed;
+        }
+    }
+
+    private static BackendServer.Shape shape(Scenario.Backends b) {
+        return new BackendServer.Shape(b.cores(), b.slots(), b.queue(), b.connections(),
+                new ServiceTime(b.service().distribution(), TimeUnit.NANOSECONDS.toMicros(b.service().mean()
+                        .toNanos()),
+                        b.service().sigma()), b.coldShare(), TimeUnit.NANOSECONDS.toMicros(b.coldFor()
+                                .toNanos()));
+    }
+
+    private static InetSocketAddress freeDatagramPort() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    /** Starts all processes side by side and waits until each is ready. */
+    void startProxies(long readyWithinMs) throws IOException, InterruptedException {
+        for (ProxyChild proxy : proxies) {
+            proxy.firstStart();
+        }
+        for (ProxyChild proxy : proxies) {
+            if (!proxy.awaitReady(readyWithinMs)) {
+                throw new IOException(proxy.name() + (proxy.child().alive() ? " did not get ready" : " ended")
+                        + " within " + readyWithinMs + " ms of its start; the end of its log:\n"
+                        + proxy.child().logEnd());
+            }
+        }
+    }
+
+    /** Ends every process by its own handle, in an orderly way first, and then the stand-ins. */
+    @Override
+    public synchronized void close() throws IOException {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        List<Thread> ends = proxies.stream().map(p -> new Thread(() -> p.child().end(END_PATIENCE_MS)))
+                .toList();
+        ends.forEach(Thread::start);
+        for (Thread end : ends) {
+            try {
+                end.join();
+            } catch (InterruptedException stop) {
+                endNow();
+                Thread.currentThread().interrupt();
+            }
+        }
+        if (relay != null) {
+            relay.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        try {
+            Runtime.getRuntime().removeShutdownHook(lastResort);
+        } catch (IllegalStateException ending) {
+            // The JVM is on its way out: the hook runs, and finds nothing left to end.
+        }
+    }
+
+    private void endNow() {
+        proxies.forEach(p -> p.child().endNow());
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drill/ProxyChild.java
@@ -0,0 +1,199 @@
+package passhatch.lab.drill;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** One proxy as a process of its own, with its configuration, its addresses and its log. */
+final class ProxyChild {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** A port may be taken by another between its choice and its use. */
+    private static final int TRIES = 3;
+    private static final long POLL_MS = 10;
+    private static final int ASK_WITHIN_MS = 1_000;
+
+    /** What all proxies of a drill have in common. */
+    record Shared(Path jar, Path folder, Scenario scenario, InetSocketAddress discovery,
+            List<String> options) { }
+
+    private final int number;
+    private final Shared shared;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress peerListen;
+    private final Path folder;
+    private InetSocketAddress listen;
+    private InetSocketAddress control;
+    private Child child;
+
+    /** A proxy that is not started yet; its folder is made. */
+    ProxyChild(int number, Shared shared, List<InetSocketAddress> peers, InetSocketAddress peerListen)
+            throws IOException {
+        this.number = number;
+        this.shared = shared;
+        this.peers = peers;
+        this.peerListen = peerListen;
+        this.folder = Files.createDirectories(shared.folder().resolve(name()));
+        chooseAddresses();
+    }
+
+    String name() {
+        return "proxy-" + (number + 1);
+    }
+
+    int number() {
+        return number;
+    }
+
+    InetSocketAddress listen() {
+        return listen;
+    }
+
+    Child child() {
+        return child;
+    }
+
+    private void chooseAddresses() throws IOException {
+        listen = freePort();
+        control = freePort();
+        configure();
+    }
+
+    private static InetSocketAddress freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    private void configure() throws IOException {
+        Path tmp = Files.createDirectories(folder.resolve("tmp"));
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, JSON.writeValueAsString(configuration()));
+        Map<String, String> env = Map.of("PROXY_NAME", name(), "PROXY_LISTEN", text(listen), "PROXY_CONTROL",
+                text(control), "PROXY_DISCOVERY", text(shared.discovery()), "PROXY_CONFIG", config.toString(),
+                "TMPDIR", tmp.toString());
+        child = new Child(name(), command(), env, folder.resolve("log"));
+    }
+
+    /** As {@code deploy/serve.sh} starts it. */
+    private List<String> command() {
+        int heap = Math.max(24, Math.min(48, shared.scenario().proxies().memoryMb() / 3));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xshare:auto", "-Xms24m",
+                "-Xmx" + heap + "m", "-Xss512k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m",
+                "-XX:MaxDirectMemorySize=" + heap / 3 + "m", "-Dio.netty.jfr.enabled=false"));
+        command.addAll(shared.options());
+        command.addAll(List.of("-jar", shared.jar().toString(), "serve"));
+        return command;
+    }
+
+    private Map<String, Object> configuration() {
+        Scenario s = shared.scenario();
+        Map<String, Object> settings = new HashMap<>();
+        settings.put("categories", s.classes().stream().map(ProxyChild::category).toList());
+        settings.put("dcs", List.of("a"));
+        settings.put("machineTypes", List.of("m"));
+        settings.put("balancers", s.proxies().count());
+        settings.put("me", number);
+        settings.put("discovery", "pushed");
+        settings.put("limits", Map.of("maxAttempts", s.proxies().retries() ? 3 : 1, "cancel", true, "probes",
+                false,
+                "retryAfter", true, "maxRetryAfterUs", 2_000_000, "maxStreams", 1, "keepaliveUs", 10_000_000,
+                "connectTimeoutUs", 250_000));
+        settings.put("rules", Map.of("drainGraceUs", 750_000, "coldFrom", s.backends().coldShare(), "coldUs",
+                Math.max(1, micros(s.backends().coldFor())), "tipMultiple", 2.5, "overloadForUs", 1_000_000));
+        Map<String, Object> config = new HashMap<>();
+        config.put("name", name());
+        config.put("seed", Long.toHexString(s.seed() * 1_000_003 + number));
+        config.put("limits", Map.of("cores", 1.0, "memory_mb", s.proxies().memoryMb(), "sockets",
+                s.proxies().sockets()));
+        config.put("listen", text(listen));
+        config.put("control", text(control));
+        config.put("discovery", text(shared.discovery()));
+        config.put("peer_listen", text(peerListen));
+        config.put("peers", peers.stream().map(ProxyChild::text).toList());
+        config.put("settings", settings);
+        return config;
+    }
+
+    private static Map<String, Object> category(Scenario.RequestKind kind) {
+        String effect = switch (kind.effect()) {
+            case SAFE -> "pure";
+            case KEYED -> "token";
+            case UNSAFE -> "side_effect";
+        };
+        return Map.of("name", kind.name(), "effect", effect, "goalTimeUs", micros(kind.aim()), "deadlineUs",
+                micros(kind.deadline()), "worth", 1, "dedupWindowUs", 6_000_000, "group", "all");
+    }
+
+    private static long micros(java.time.Duration d) {
+        return TimeUnit.NANOSECONDS.toMicros(d.toNanos());
+    }
+
+    static String text(InetSocketAddress address) {
+        return String.format(Locale.ROOT, "%s:%d", address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    /** Starts it for the first time; where its port was taken meanwhile, at others. */
+    void firstStart() throws IOException, InterruptedException {
+        for (int i = 1; ; i++) {
+            child.start();
+            // A taken port shows as an end within the start; all else shows later, as it does not get ready.
+            if (awaitReadyOrEnd() || i == TRIES || !child.logEnd().contains("Address already in use")) {
+                return;
+            }
+            chooseAddresses();
+        }
+    }
+
+    private boolean awaitReadyOrEnd() throws InterruptedException {
+        while (child.alive() && !ready()) {
+            Thread.sleep(POLL_MS);
+            if (!child.logEnd().isEmpty() && child.logEnd().contains("listening on")) {
+                return true;
+            }
+        }
+        return child.alive();
+    }
+
+    /** Waits until it says that it is ready; false where it has ended or the time is over. */
+    boolean awaitReady(long ms) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() < endNs && child.alive()) {
+            if (ready()) {
+                return true;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        return false;
+    }
+
+    private boolean ready() {
+        return ask("check").startsWith("done");
+    }
+
+    /** What its control address answers to a call; nothing where it does not answer. */
+    String ask(String call) {
+        try (Socket socket = new Socket()) {
+            socket.connect(control, ASK_WITHIN_MS);
+            socket.setSoTimeout(ASK_WITHIN_MS);
+            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        } catch (IOException none) {
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/load/LoadPlan.java
@@ -0,0 +1,30 @@
+package passhatch.lab.load;
+
+import java.util.List;
+
+/**
+ * The load to give.
+ *
+ * @param rate requests a second
+ * @param even whether they come evenly; else as a Poisson process
+ * @param durationMs how long
+ * @param retries how often a client tries again, at another proxy, what was refused, failed or not answered
+ * @param connections that are kept to each proxy at most; more are opened when all are busy, and closed after
+ * @param threads that send
+ * @param kinds the classes of requests with their shares
+ */
+public record LoadPlan(double rate, boolean even, long durationMs, int retries, int connections, int threads,
+        List<Kind> kinds) {
+
+    /** How a request may be repeated. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /**
+     * A class of requests.
+     *
+     * @param path its name in the settings
+     * @param share of all requests, relative to the other kinds'
+     * @param deadlineUs how long its client waits
+     */
+    public record Kind(String path, Effect effect, double share, long deadlineUs) { }
+}
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -31,8 +31,20 @@
 
     private Rehearsal() { }
 
-    /** Plays it through. */
-    public static void run(PrintStream err) throws Exception {
+    /**
+     * Plays it through; the build goes on without the archive, which only makes a start quicker, so it says
+     * 0.
+     */
+    public static int runOrSay(PrintStream err) {
+        try {
+            run(err);
+        } catch (Exception e) {
+            err.println("passhatch: the rehearsal failed, starts will be slower: " + e);
+        }
+        return 0;
+    }
+
+    static void run(PrintStream err) throws Exception {
         Path config = Files.createTempFile("rehearsal", ".json");
         try (ServerSocket backend = serve(Rehearsal::answerAsBackend);
                 ServerSocket discovery = serve((in, out) -> answerAsDiscovery(in, out, address(backend)))) {
--- a/src/test/java/passhatch/adapter/WireTest.java
+++ b/src/test/java/passhatch/adapter/WireTest.java
@@ -39,10 +39,10 @@
         return "{\"atTimeUs\":" + now + ",\"groups\":[{\"who\":" + who + ",\"input\":[" + events + "]}]}\n";
     }
 
-    private static Ran run(String input, String... args) {
+    private static Ran run(String input) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int status = Main.run(args, new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        int status = Adapter.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
         return new Ran(status, out.toString(StandardCharsets.UTF_8).lines().toList(),
                 err.toString(StandardCharsets.UTF_8));
@@ -50,8 +50,7 @@
 
     @Test
     void answersEachBatchWithOneLine() {
-        Ran ran = run("{\"atTimeUs\":1,\"groups\":[]}\n" + batch(5, 4, START) + batch(6, 4, INBOUND),
-                "adapter");
+        Ran ran = run("{\"atTimeUs\":1,\"groups\":[]}\n" + batch(5, 4, START) + batch(6, 4, INBOUND));
         assertEquals(0, ran.status(), ran.err());
         assertEquals(3, ran.out().size());
         assertEquals("{\"groups\":[]}", ran.out().get(0));
@@ -68,16 +67,14 @@
         String reply = "{\"msg\":\"reply\",\"opId\":\"00ab\",\"leg\":0,\"backend\":\"s:1\","
                 + "\"ending\":\"DEADLINE_EXCEEDED\",\"elapsedUs\":400000,\"last\":false,\"stats\":null}";
         String late = "{\"msg\":\"left\",\"opId\":\"00ab\"}";
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND) + batch(400006, 4, reply + "," + late),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND) + batch(400006, 4, reply + "," + late));
         assertEquals(0, ran.status(), ran.err());
         assertTrue(ran.out().get(2).contains("{\"msg\":\"abort\",\"opId\":\"00ab\"}"), ran.out().get(2));
     }
 
     @Test
     void forgetsAnInstanceThatWasTornDown() {
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"teardown\"}") + batch(7, 4, INBOUND),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"teardown\"}") + batch(7, 4, INBOUND));
         assertEquals(1, ran.status());
         assertEquals("passhatch: line 3: inbound: instance 4 was not started\n", ran.err());
     }
@@ -97,7 +94,7 @@
                 + "\"nonce64\":1}]}]}|params is missing",
     })
     void saysInOneLineWhatIsWrong(String input, String message) {
-        Ran ran = run(input, "adapter");
+        Ran ran = run(input);
         assertEquals(1, ran.status());
         assertTrue(ran.err().contains(message), ran.err());
         assertEquals(1, ran.err().lines().count(), ran.err());
@@ -105,14 +102,13 @@
 
     @Test
     void namesTheMissingFieldOfAMessageAndOfTheSettings() {
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND.replace("\"budgetUs\":400000,", "")),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND.replace("\"budgetUs\":400000,", "")));
         assertEquals("passhatch: line 2: inbound: field budgetUs is missing\n", ran.err());
-        ran = run(batch(5, 4, START.replace("\"maxAttempts\":3,", "")), "adapter");
+        ran = run(batch(5, 4, START.replace("\"maxAttempts\":3,", "")));
         assertEquals("passhatch: line 1: powerOn: params.limits.maxAttempts is missing\n", ran.err());
-        ran = run(batch(5, 4, START.replace("\"coldFrom\":0.5", "\"coldFrom\":7")), "adapter");
+        ran = run(batch(5, 4, START.replace("\"coldFrom\":0.5", "\"coldFrom\":7")));
         assertEquals("passhatch: line 1: powerOn: rules.coldFrom: must lie above 0, up to 1\n", ran.err());
-        ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"greeting\"}"), "adapter");
+        ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"greeting\"}"));
         assertEquals("passhatch: line 2: message 'greeting' is not known\n", ran.err());
     }
 
@@ -120,13 +116,13 @@
     void passesOnWhereAClassMayRun() {
         for (String bound : List.of("\"runsIn\":[1]", "\"machineTypesOnly\":[2,3]", "\"runsIn\":[]")) {
             String start = START.replace("\"worth\":1", "\"worth\":1," + bound);
-            Ran ran = run(batch(5, 4, start) + batch(6, 4, INBOUND), "adapter");
+            Ran ran = run(batch(5, 4, start) + batch(6, 4, INBOUND));
             assertEquals(0, ran.status(), ran.err());
             assertFalse(ran.out().get(1).contains("relay"), ran.out().get(1));
         }
         String open = START.replace("\"worth\":1", "\"worth\":1,\"runsIn\":[0,1],\"machineTypesOnly\":[0]");
-        assertTrue(run(batch(5, 4, open) + batch(6, 4, INBOUND), "adapter").out().get(1).contains("relay"));
-        Ran ran = run(batch(5, 4, START.replace("\"worth\":1", "\"runsIn\":[\"x\"],\"worth\":1")), "adapter");
+        assertTrue(run(batch(5, 4, open) + batch(6, 4, INBOUND)).out().get(1).contains("relay"));
+        Ran ran = run(batch(5, 4, START.replace("\"worth\":1", "\"runsIn\":[\"x\"],\"worth\":1")));
         assertEquals("passhatch: line 1: powerOn: params.categories[0].runsIn must hold whole numbers\n",
                 ran.err());
     }
@@ -137,17 +133,10 @@
                 + "\"readiness\":\"L\"}]},"
                 + "{\"msg\":\"backendsChanged\",\"gen\":2,\"rosterId\":3,\"mode\":\"changes\"}";
         String start = START.replace("\"coldUs\":5", "\"coldUs\":5,\"letGoInUs\":1000000");
-        Ran ran = run(batch(5, 4, start) + batch(6, 4, drains), "adapter");
+        Ran ran = run(batch(5, 4, start) + batch(6, 4, drains));
         assertTrue(ran.out().get(1).contains("{\"msg\":\"disconnect\",\"backend\":\"s:1\"}"),
                 ran.out().get(1));
-        ran = run(batch(5, 4, START) + batch(6, 4, drains), "adapter");
+        ran = run(batch(5, 4, START) + batch(6, 4, drains));
         assertFalse(ran.out().get(1).contains("disconnect"), ran.out().get(1));
     }
-
-    @Test
-    void printsItsUsageWithoutOrWithAWrongArgument() {
-        assertEquals(2, run("").status());
-        assertTrue(run("", "wrong").err().startsWith("usage: "));
-        assertEquals(0, run("", "adapter").status());
-    }
 }
--- /dev/null
+++ b/src/test/java/passhatch/cli/CommandsTest.java
@@ -0,0 +1,47 @@
+package passhatch.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import picocli.CommandLine;
+
+class CommandsTest {
+
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine line = Commands.line().setOut(new PrintWriter(out)).setErr(new PrintWriter(err));
+        return line.execute(args);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "wrong", "--wrong", "serve extra", "adapter --wrong", "rehearse extra"})
+    void wrongUseIsOneLineAndExitCode2(String args) {
+        assertEquals(Commands.USAGE, run(args.isEmpty() ? new String[0] : args.split(" ")));
+        assertEquals(1, err.toString().lines().count(), err.toString());
+        assertTrue(err.toString().startsWith("passhatch: "), err.toString());
+        assertEquals("", out.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"--help", "--version", "serve --help", "adapter --help", "rehearse --help"})
+    void helpAndVersionGoToStandardOutput(String args) {
+        assertEquals(0, run(args.split(" ")));
+        assertTrue(out.toString().contains("passhatch"), out.toString());
+        assertEquals("", err.toString());
+    }
+
+    /** The deployed program must not need what only the tools have. */
+    @Test
+    void namesTheToolsWithoutHavingThem() {
+        run("--help");
+        assertTrue(out.toString().contains("passhatch-lab.jar"), out.toString());
+        assertEquals(Commands.USAGE, run("drill"));
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/lab/drill/ComparisonTest.java
@@ -0,0 +1,37 @@
+package passhatch.lab.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.junit.jupiter.api.Test;
+import passhatch.lab.Seeds;
+
+class ComparisonTest {
+
+    /** Of intervals at 95 %, about that many hold the true difference, though the spreads are not equal. */
+    @Test
+    void theIntervalHoldsTheTrueDifferenceAsOftenAsItSays() {
+        UniformRandomProvider random = new Seeds(5).stream("comparison");
+        var normal = ZigguratSampler.NormalizedGaussian.of(random);
+        int holds = 0;
+        int trials = 2_000;
+        for (int i = 0; i < trials; i++) {
+            double[] a = new double[5];
+            double[] b = new double[8];
+            java.util.Arrays.setAll(a, n -> 10 + normal.sample());
+            java.util.Arrays.setAll(b, n -> 12 + 3 * normal.sample());
+            Comparison.Row row = Comparison.row("x", a, b);
+            holds += row.low() <= 2 && row.high() >= 2 ? 1 : 0;
+        }
+        assertEquals(0.95, (double) holds / trials, 0.02);
+    }
+
+    @Test
+    void saysWhereThereAreNoRepeats() {
+        assertTrue(Double.isNaN(Comparison.row("x", new double[] {1}, new double[] {2, 3}).low()));
+        assertFalse(Comparison.row("x", new double[] {1}, new double[] {2}).differs());
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/lab/drill/DrillIT.java
@@ -0,0 +1,95 @@
+package passhatch.lab.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Whole drills with the packaged program. */
+class DrillIT {
+
+    private static final Path JAR = Path.of("target/passhatch.jar").toAbsolutePath();
+
+    @TempDir
+    private Path folder;
+
+    private Result run(String file, String name) throws Exception {
+        return new Drill(ScenarioReader.read(name, file), JAR, folder.resolve(name), List.of())
+                .run((ms, ended) -> { });
+    }
+
+    private static String resets(boolean retries) {
+        return """
+                name = "resets"
+                duration = "4s"
+                proxies = {count = 1, retries = %b}
+                load = {rate = 150.0, retries = 0}
+                faults = [{at = "1s", do = "reset", target = ["backend-1", "backend-2"], share = 0.5}]
+                expect = {lost = 0, spoilt = 0, duplicates = 0, too_often = 0, served = 0.9}
+                """.formatted(retries);
+    }
+
+    /** Half of the calls break at half of the backends: the proxies' retries must make good most of that. */
+    @Test
+    void retriesMakeTheDifferenceThatTheyMust() throws Exception {
+        Result with = run(resets(true), "with");
+        Result without = run(resets(false), "without");
+        assertTrue(with.servedShare() > without.servedShare() + 0.02,
+                with.servedShare() + " with and " + without.servedShare() + " without");
+        assertEquals(0, with.counts().get("duplicates"));
+        assertEquals(0, with.counts().get("lost") + without.counts().get("lost"));
+        assertTrue(with.counts().get("attempts") > with.counts().get("offered"));
+        assertEquals(without.counts().get("attempts"), without.counts().get("offered"), 5.0);
+        Path report = folder.resolve("with/report.html");
+        assertTrue(Files.readString(report).contains("<svg"));
+        assertTrue(Files.readAllLines(folder.resolve("with/events.jsonl")).stream()
+                .anyMatch(l -> l.contains("\"do\":\"reset\"")));
+    }
+
+    /** What cannot hold must not be said to hold. */
+    @Test
+    void saysWhatDoesNotHold() throws Exception {
+        Result result = run("""
+                name = "hung"
+                duration = "2s"
+                proxies = {count = 1}
+                backends = {count = 1}
+                load = {rate = 50.0, retries = 0}
+                faults = [{at = "500ms", do = "hang", target = "backend-1"}]
+                expect = {served = 0.99, recovery = "500ms"}
+                """, "hung");
+        assertFalse(result.holds());
+        assertEquals(2, result.broken().size(), result.broken().toString());
+    }
+
+    @Test
+    void aProcessThatNeverGetsReadyIsShownWithTheEndOfItsLog() throws Exception {
+        Path wrong = folder.resolve("wrong.jar");
+        Files.write(wrong, new byte[] {1, 2, 3});
+        Scenario scenario = ScenarioReader.read("first", Files.readString(Path.of("drills/first.toml")));
+        IOException shown = assertThrows(IOException.class,
+                () -> new Drill(scenario, wrong, folder.resolve("never"), List.of()).run((ms, ended) -> { }));
+        assertTrue(shown.getMessage().contains("proxy-1 ended"), shown.getMessage());
+        assertTrue(shown.getMessage().contains("wrong.jar"), shown.getMessage());
+    }
+
+    @Tag("long")
+    @Test
+    void allShippedDrillsHold() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("drills"))) {
+            for (Path file : files.sorted().toList()) {
+                Result result = run(Files.readString(file), file.getFileName().toString());
+                assertTrue(result.holds(), () -> file + ": " + result.broken() + " " + result.invalid());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/lab/drill/FaultsIT.java
@@ -0,0 +1,194 @@
+package passhatch.lab.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import passhatch.lab.Seeds;
+import passhatch.lab.load.Front;
+import passhatch.lab.standin.DiscoveryServer;
+
+/** Each fault by its effect on a real process of the packaged program. */
+class FaultsIT {
+
+    private static final Path JAR = Path.of("target/passhatch.jar").toAbsolutePath();
+    private static final long PATIENCE_MS = 20_000;
+    private static final String SCENARIO = """
+            name = "faults"
+            duration = "1h"
+            proxies = {count = 1, retries = false}
+            backends = {count = 1, service = {distribution = "constant", mean = "4ms"}}
+            classes = [{name = "look", effect = "safe", share = 1.0, aim = "300ms", deadline = "900ms"}]
+            expect = {lost = 0}
+            """;
+
+    @TempDir
+    private Path folder;
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final AtomicInteger ids = new AtomicInteger();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private Scenario scenario;
+    private Field field;
+    private EventFile events;
+    private FaultRunner faults;
+    private ProxyChild proxy;
+
+    @BeforeEach
+    void start() throws Exception {
+        scenario = ScenarioReader.read("faults", SCENARIO);
+        field = new Field(scenario, new Seeds(1), JAR, folder, List.of());
+        field.startProxies(PATIENCE_MS);
+        proxy = field.proxies.get(0);
+        events = new EventFile(folder.resolve("events.jsonl"));
+        faults = new FaultRunner(scenario, field, new Front(List.of(proxy.listen())), events, timer);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        timer.shutdownNow();
+        field.close();
+        events.close();
+        assertFalse(proxy.child().alive(), "a process was left behind");
+    }
+
+    private void fault(String text) {
+        String whole = SCENARIO.replace("expect =", "faults = [{at = '0s', " + text + "}]\nexpect =");
+        FaultPlan.of(ScenarioReader.read("faults", whole)).forEach(faults::run);
+        assertTrue(events.all().stream().noneMatch(e -> e.what().equals("fault-failed")), () -> ""
+                + events.all());
+    }
+
+    /** Status of a request, or 0 where no answer came; the deadline is the class's. */
+    private int ask() {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + ProxyChild.text(proxy.listen())
+                + "/look")).header("X-Request-Id", "r" + ids.incrementAndGet())
+                        .timeout(Duration.ofSeconds(3)).build();
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        } catch (IOException none) {
+            return 0;
+        } catch (InterruptedException stop) {
+            throw new IllegalStateException(stop);
+        }
+    }
+
+    private static void await(String what, BooleanSupplier holds) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < endNs, () -> "never came: " + what);
+            Thread.sleep(10);
+        }
+    }
+
+    private int listed() {
+        return proxy.ask("vars").lines().filter(l -> l.contains("hosts_listed"))
+                .map(l -> Integer.parseInt(l.substring(l.lastIndexOf(' ') + 1))).findFirst().orElse(-1);
+    }
+
+    private void listOneMore(String name) {
+        field.discovery.update(List.of(new DiscoveryServer.Entry(name, field.backends.get(0).address(),
+                "SERVING",
+                0)));
+    }
+
+    @Test
+    void aKilledProcessIsGoneAndOneStartedAgainServes() throws Exception {
+        long pid = proxy.child().pid();
+        fault("do = 'kill', target = 'proxy-1'");
+        await("its end", () -> !proxy.child().alive());
+        assertEquals(0, ask());
+        fault("do = 'start', target = 'proxy-1'");
+        await("an answer", () -> ask() == 200);
+        assertNotEquals(pid, proxy.child().pid());
+    }
+
+    @Test
+    void aTerminatedProcessEndsByItself() throws Exception {
+        fault("do = 'term', target = 'proxy-1'");
+        await("its end", () -> !proxy.child().alive());
+        assertTrue(proxy.child().logEnd().contains("ending with 0 requests unanswered"), proxy.child()
+                .logEnd());
+    }
+
+    @Test
+    void aStoppedProcessIsSilentUntilItGoesOn() throws Exception {
+        fault("do = 'stop', target = 'proxy-1'");
+        assertEquals(0, ask());
+        assertTrue(proxy.child().alive());
+        fault("do = 'cont', target = 'proxy-1'");
+        await("an answer", () -> ask() == 200);
+    }
+
+    @Test
+    void backendsDoBadlyAndWellAgain() throws Exception {
+        assertEquals(200, ask());
+        fault("do = 'slow', target = 'backend-1', factor = 100.0");
+        long sentNs = System.nanoTime();
+        assertEquals(200, ask());
+        assertTrue(System.nanoTime() - sentNs >= 400_000_000, "it was not slow");
+        for (String bad : List.of("fail", "reset", "hang")) {
+            fault("do = '" + bad + "', target = 'backend-1'");
+            assertNotEquals(200, ask(), bad);
+            fault("do = 'well', target = 'backend-1'");
+            await("an answer after " + bad, () -> ask() == 200);
+        }
+    }
+
+    @Test
+    void backendsLeaveAndReturn() throws Exception {
+        fault("do = 'crash', target = 'backend-1'");
+        await("the news of its end", () -> listed() == 0);
+        assertNotEquals(200, ask());
+        fault("do = 'return', target = 'backend-1'");
+        await("an answer", () -> ask() == 200);
+        fault("do = 'drain', target = 'backend-1'");
+        await("that it is sent nothing more", () -> ask() != 200);
+        assertEquals(0, field.ledger.drainBroken());
+    }
+
+    @Test
+    void discoveryFailsInEachWayAndIsHeardAgain() throws Exception {
+        fault("do = 'break'");
+        await("the news of the break", () -> proxy.child().logEnd().contains("the watch from index 1 ended"));
+        listOneMore("b");
+        await("the change after it", () -> listed() == 2);
+        fault("do = 'down'");
+        listOneMore("c");
+        await("a refused call", () -> proxy.child().logEnd().contains("Connection refused"));
+        assertEquals(2, listed());
+        fault("do = 'up'");
+        await("the change told late", () -> listed() == 3);
+        fault("do = 'stall'");
+        listOneMore("d");
+        await("the end of its patience", () -> proxy.child().logEnd().contains("index 3 ended"));
+        assertEquals(3, listed());
+        fault("do = 'resume'");
+        await("the change after the stall", () -> listed() == 4);
+        fault("do = 'tell_late', by = '700ms'");
+        long toldNs = System.nanoTime();
+        listOneMore("e");
+        await("the late change", () -> listed() == 5);
+        assertTrue(System.nanoTime() - toldNs >= 700_000_000L, "it came early");
+        fault("do = 'tell_at_once'");
+        listOneMore("f");
+        await("a change at once", () -> listed() == 6);
+    }
+}
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -239,7 +239,7 @@
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         ProcessBuilder builder = new ProcessBuilder(java, "-cp",
-                System.getProperty("java.class.path"), "passhatch.adapter.Main", "serve");
+                System.getProperty("java.class.path"), "passhatch.cli.Main", "serve");
         builder.environment().putAll(env);
         return builder.start();
     }
