Answer sooner by what the process is held up, and write each log line in one piece

A jump of over half a second past a request's time is a loss, and all that wait in that process are lost in that moment, as was seen. Change: HoldUps, out of ClientServer, remembers the longest hold-up of the last ten seconds; what of it is over 0.4 s (a late answer counts for half a second) is taken off the time of requests taken after it, a quarter of their time at most. A line goes out by one call, not two. Not covered: the first jump in a process.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -34,6 +34,7 @@
 import passhatch.proxy.backend.LoadText;
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.HoldUps;
 import passhatch.proxy.client.Answer;
 import passhatch.proxy.client.ProxyRequest;
 import passhatch.proxy.client.RequestHandler;
@@ -55,6 +56,8 @@
      * be late.
      */
     private static final long ANSWER_MARGIN_US = 20_000;
+    /** One part in so many of a client's time is the most that hold-ups may take of it. */
+    private static final long MOST_AHEAD = 4;
     /** How long after that the answer is given here if the module has given none. */
     private static final long BACKSTOP_US = 5_000;
     /**
@@ -77,6 +80,7 @@
     private final EventLog log;
     private final BackendPool pool;
     private final Figures figures;
+    private final HoldUps holdUps;
     private final Discovery discovery;
     private final Balancer balancer;
     private final int maxAttempts;
@@ -95,12 +99,13 @@
     private record Event(Exchange about, Runnable tell) { }
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
-            ProxyServer.Module module) {
+            HoldUps holdUps, ProxyServer.Module module) {
         this.figures = new Figures(config.classes());
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.pool = pool;
+        this.holdUps = holdUps;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.discovery = new Discovery(loop, log, new Discovery.Source(config.discovery(),
                 config.known().index(), config.settings().watch(), config.zones(), config.models()),
@@ -228,7 +233,10 @@
 
     private void runClock(Exchange e, long unreadUs) {
         long now = clock.nowUs();
-        e.deadlineUs = Math.min(now + e.request.budgetUs() - unreadUs - ANSWER_MARGIN_US, lastAnswerUs);
+        // A process that is held up now and then cannot tell when: it answers so much sooner, if time allows.
+        long aheadUs = ANSWER_MARGIN_US + Math.min(holdUps.answerAheadUs(),
+                e.request.budgetUs() / MOST_AHEAD);
+        e.deadlineUs = Math.min(now + e.request.budgetUs() - unreadUs - aheadUs, lastAnswerUs);
         e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
                 TimeUnit.MICROSECONDS);
     }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -19,6 +19,7 @@
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.Descriptors;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.HoldUps;
 import passhatch.proxy.client.ClientServer;
 import passhatch.proxy.client.RequestParser;
 import passhatch.proxy.control.Control;
@@ -136,10 +137,12 @@
         ByteBudget budget = new ByteBudget(config.memoryBytes() / BUDGET_PART);
         pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
                 config.settings().limits().keepaliveUs(), descriptors);
-        proxy = new ProxyLoop(loop, clock, log, config, pool, module);
+        HoldUps holdUps = new HoldUps(clock.nowUs());
+        beat(clock, holdUps);
+        proxy = new ProxyLoop(loop, clock, log, config, pool, holdUps, module);
         clients = new ClientServer(loop, clock, log, new RequestParser(config.settings().classes(),
                 config.classes(), config.tenants()), proxy, budget,
-                descriptors);
+                descriptors, holdUps);
         control = new Control(loop, log, () -> clients.ready() && warm, proxy::figures);
         shareDescriptors();
         warm = !twoRun();
@@ -151,6 +154,14 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Each beat is timed from the one before, so that a hold-up shows once. */
+    private void beat(Clock clock, HoldUps holdUps) {
+        loop.schedule(() -> {
+            holdUps.beat(clock.nowUs());
+            beat(clock, holdUps);
+        }, HoldUps.BEAT_US, TimeUnit.MICROSECONDS);
+    }
+
     private void sweep() {
         pool.closeStale();
         shareDescriptors();
--- a/src/main/java/passhatch/proxy/base/EventLog.java
+++ b/src/main/java/passhatch/proxy/base/EventLog.java
@@ -17,7 +17,8 @@
     }
 
     public void line(String text) {
-        out.println(Instant.now() + " " + text);
+        // With its end in one piece: else the stream hands it to the system in two.
+        out.print(Instant.now() + " " + text + "\n");
     }
 
     /** One step of a request: its take, its attempts, its end, the last byte of its answer. */
--- a/src/main/java/passhatch/proxy/client/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -16,11 +16,11 @@
 import java.net.StandardSocketOptions;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.Descriptors;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.HoldUps;
 import passhatch.proxy.flow.ByteBudget;
 import passhatch.proxy.flow.Relay;
 import passhatch.proxy.flow.RequestBody;
@@ -31,14 +31,10 @@
     private static final int BACKLOG = 1024;
     /** While a newer process takes over, one in so many answers sends its client away. */
     private static final int SENT_AWAY = 8;
-    /** How often the loop checks whether it was held up. */
-    private static final long BEAT_US = 10_000;
     /** Time between two lines on clients let go: there may be hundreds a second. */
     private static final long SAY_AGAIN_US = 10_000_000;
     /** A connection may be closed once it had no open request for this long. */
     private static final long IDLE_US = 2_000_000;
-    /** Lateness of a beat that says nothing: timers fire up to a millisecond or two late. */
-    private static final long BEAT_SLACK_US = 2_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -47,6 +43,7 @@
     private final RequestHandler requests;
     private final ByteBudget budget;
     private final Descriptors descriptors;
+    private final HoldUps holdUps;
     /** Connections that were served and have no request out, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     /** Those that have never sent a whole request, the longest silent first. */
@@ -58,17 +55,16 @@
     private boolean draining;
     private boolean sharing;
     private long answers;
-    private long nextBeatUs;
-    private long heldUpUs;
 
     /**
      * A server that does not listen yet.
      *
      * @param budget of the bytes of bodies that are held
+     * @param holdUps of the loop
      * @param descriptors shared with the backends' side; where there are too few, some connection is closed
      */
     public ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser,
-            RequestHandler requests, ByteBudget budget, Descriptors descriptors) {
+            RequestHandler requests, ByteBudget budget, Descriptors descriptors, HoldUps holdUps) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -76,8 +72,7 @@
         this.requests = requests;
         this.budget = budget;
         this.descriptors = descriptors;
-        this.nextBeatUs = clock.nowUs();
-        beat();
+        this.holdUps = holdUps;
     }
 
     /** Starts to listen and waits until it does. */
@@ -227,23 +222,8 @@
         goes.close();
     }
 
-    private void beat() {
-        heldUpUs = lateUs();
-        nextBeatUs = clock.nowUs() + BEAT_US;
-        loop.schedule(this::beat, BEAT_US, TimeUnit.MICROSECONDS);
-    }
-
-    /** How late the next beat is already, where that is more than timers commonly are. */
-    private long lateUs() {
-        return Math.max(0, clock.nowUs() - nextBeatUs - BEAT_SLACK_US);
-    }
-
-    /**
-     * How long a request read now may have stood unread: its client's time has run since it was sent, also
-     * while this process was held up and read nothing. The loop may beat before it reads what came meanwhile,
-     * so a beat's lateness counts until the next one.
-     */
+    /** How long a request read now may have stood unread, in microseconds. */
     long unreadUs() {
-        return Math.max(heldUpUs, lateUs());
+        return holdUps.unreadUs(clock.nowUs());
     }
 }
--- a/src/test/java/passhatch/lab/drill/DrillIT.java
+++ b/src/test/java/passhatch/lab/drill/DrillIT.java
@@ -33,17 +33,20 @@
                 duration = "4s"
                 proxies = {count = 1, retries = %b}
                 load = {rate = 150.0, retries = 0}
-                faults = [{at = "1s", do = "reset", target = ["backend-1", "backend-2"], share = 0.5}]
+                faults = [{at = "1s", do = "reset", target = "backends", share = 0.15}]
                 expect = {lost = 0, spoilt = 0, duplicates = 0, too_often = 0, served = 0.9}
                 """.formatted(retries);
     }
 
-    /** Half of the calls break at half of the backends: the proxies' retries must make good most of that. */
+    /**
+     * At all backends alike 15 % of the calls break, so no choice of backend helps: without retries as many
+     * fail, and with them only those of the tenth that must not be sent twice.
+     */
     @Test
     void retriesMakeTheDifferenceThatTheyMust() throws Exception {
         Result with = run(resets(true), "with");
         Result without = run(resets(false), "without");
-        assertTrue(with.servedShare() > without.servedShare() + 0.02,
+        assertTrue(with.servedShare() > without.servedShare() + 0.05,
                 with.servedShare() + " with and " + without.servedShare() + " without");
         assertEquals(0, with.counts().get("duplicates"));
         assertEquals(0, with.counts().get("lost") + without.counts().get("lost"));
