--- a/src/main/java/passhatch/cli/Commands.java
+++ b/src/main/java/passhatch/cli/Commands.java
@@ -29,7 +29,8 @@
     /** The whole command line, to which tools outside the deployed jar add commands of their own. */
     public static CommandLine line() {
         CommandLine line = new CommandLine(new Root());
-        line.addSubcommand(new Serve()).addSubcommand(new Decide()).addSubcommand(new Rehearse());
+        line.addSubcommand(new Serve()).addSubcommand(new Decide()).addSubcommand(new Rehearse())
+                .addSubcommand(StoreCommand.line());
         return oneLineErrors(line);
     }
 
--- /dev/null
+++ b/src/main/java/passhatch/cli/StoreCommand.java
@@ -0,0 +1,127 @@
+package passhatch.cli;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import passhatch.cli.Commands.BadInput;
+import passhatch.store.Entry;
+import passhatch.store.FolderDisk;
+import passhatch.store.Inspection;
+import passhatch.store.StoreException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The command {@code store} with what belongs to it. A folder that a process has is not looked at. */
+@Command(name = "store", mixinStandardHelpOptions = true,
+        description = "Looks at what a process keeps on disk; docs/recovery.md says more.")
+final class StoreCommand implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    static CommandLine line() {
+        return new CommandLine(new StoreCommand()).addSubcommand(new Verify()).addSubcommand(new Dump())
+                .addSubcommand(new Salvage());
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(),
+                "no command is given: verify, dump or salvage");
+    }
+
+    private static FolderDisk take(Path folder) throws IOException, StoreException {
+        if (!Files.isDirectory(folder)) {
+            throw new BadInput(folder + ": there is no such folder");
+        }
+        return FolderDisk.take(folder);
+    }
+
+    private static int tell(Inspection.Report report, PrintWriter out) {
+        out.println(report.records() + " records, the last is " + report.last() + ", epoch "
+                + report.epoch());
+        report.notes().forEach(n -> out.println("note: " + n));
+        report.damage().forEach(d -> out.println("DAMAGED: " + d));
+        out.flush();
+        return report.damage().isEmpty() ? 0 : Commands.FAILED;
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+            description = "Reads all of a store and changes nothing; exit code 1 where something is damaged.")
+    private static final class Verify implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "DIR")
+        private Path folder;
+
+        @Override
+        public Integer call() throws IOException, StoreException {
+            try (FolderDisk disk = take(folder)) {
+                return tell(Inspection.inspect(disk, entry -> { }), spec.commandLine().getOut());
+            }
+        }
+    }
+
+    @Command(name = "dump", mixinStandardHelpOptions = true,
+            description = "Writes each record that can be read as a line of JSON, its bytes in Base64.")
+    private static final class Dump implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "DIR")
+        private Path folder;
+
+        @Override
+        public Integer call() throws IOException, StoreException {
+            PrintWriter out = spec.commandLine().getOut();
+            try (FolderDisk disk = take(folder)) {
+                Inspection.Report report = Inspection.inspect(disk, entry -> out.println(json(entry)));
+                out.flush();
+                return tell(report, spec.commandLine().getErr());
+            }
+        }
+
+        private static String json(Entry entry) {
+            Map<String, Object> line = new LinkedHashMap<>();
+            line.put("kind", entry.kind());
+            line.put("bytes", Base64.getEncoder().encodeToString(entry.bytes()));
+            try {
+                return JSON.std.asString(line);
+            } catch (IOException cannotBe) {
+                throw new IllegalStateException(cannotBe);
+            }
+        }
+    }
+
+    @Command(name = "salvage", mixinStandardHelpOptions = true,
+            description = "Brings what can be read to a new folder; the damaged one stays as it is.")
+    private static final class Salvage implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(index = "0", paramLabel = "DIR")
+        private Path folder;
+        @Parameters(index = "1", paramLabel = "TO", description = "A folder that is not there yet.")
+        private Path to;
+        @Option(names = "--owner", required = true, description = "Whose the new store is.")
+        private String owner;
+
+        @Override
+        public Integer call() throws IOException, StoreException {
+            if (Files.exists(to)) {
+                throw new BadInput(to + ": is there already");
+            }
+            try (FolderDisk from = take(folder); FolderDisk disk = FolderDisk.take(to)) {
+                return tell(Inspection.salvage(from, disk, owner), spec.commandLine().getOut());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/store/Entry.java
@@ -0,0 +1,30 @@
+package passhatch.store;
+
+import java.util.Arrays;
+
+/**
+ * A record as its user sees it.
+ *
+ * @param kind what it is, from 1 to 32,767; the store does not care
+ * @param bytes its content, at most {@link Format#MOST_RECORD} bytes
+ */
+public record Entry(int kind, byte[] bytes) {
+
+    /** The greatest kind. */
+    public static final int MOST_KIND = Short.MAX_VALUE;
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Entry e && e.kind == kind && Arrays.equals(e.bytes, bytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * kind + Arrays.hashCode(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return "Entry[" + kind + ", " + bytes.length + " bytes]";
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/store/FolderDisk.java
@@ -0,0 +1,142 @@
+package passhatch.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** A folder of the file system, held by a lock for as long as this object is open. */
+public final class FolderDisk implements Disk {
+
+    private static final String LOCK = "lock";
+
+    private final Path folder;
+    private final FileChannel lockFile;
+    private final Map<String, FileChannel> open = new HashMap<>();
+
+    private FolderDisk(Path folder, FileChannel lockFile) {
+        this.folder = folder;
+        this.lockFile = lockFile;
+    }
+
+    /**
+     * Takes a folder for this process; it is made where it is not there.
+     *
+     * @throws StoreException.InUse where another process, or another object in this one, has it
+     */
+    public static FolderDisk take(Path folder) throws IOException, StoreException.InUse {
+        Files.createDirectories(folder);
+        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        try {
+            if (file.tryLock() != null) {
+                return new FolderDisk(folder, file);
+            }
+        } catch (OverlappingFileLockException heldHere) {
+            // Told below, like one that another process holds.
+        }
+        file.close();
+        throw new StoreException.InUse(folder.toString());
+    }
+
+    @Override
+    public List<String> list() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString())
+                    .filter(n -> !n.equals(LOCK)).toList();
+        }
+    }
+
+    @Override
+    public long size(String name) throws IOException {
+        return Files.size(folder.resolve(name));
+    }
+
+    @Override
+    public byte[] read(String name, int most) throws IOException {
+        long size = size(name);
+        if (size > most) {
+            throw new IOException(name + " has " + size + " bytes, and at most " + most + " are read");
+        }
+        return Files.readAllBytes(folder.resolve(name));
+    }
+
+    @Override
+    public void create(String name) throws IOException {
+        Files.createFile(folder.resolve(name));
+    }
+
+    private FileChannel channel(String name) throws IOException {
+        FileChannel channel = open.get(name);
+        if (channel == null) {
+            channel = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE,
+                    StandardOpenOption.APPEND);
+            open.put(name, channel);
+        }
+        return channel;
+    }
+
+    private void closeFile(String name) throws IOException {
+        FileChannel channel = open.remove(name);
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void append(String name, ByteBuffer bytes) throws IOException {
+        FileChannel channel = channel(name);
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    @Override
+    public void force(String name) throws IOException {
+        channel(name).force(true);
+    }
+
+    @Override
+    public void forceFolder() throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        closeFile(from);
+        closeFile(to);
+        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Override
+    public void truncate(String name, long size) throws IOException {
+        channel(name).truncate(size);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        closeFile(name);
+        Files.delete(folder.resolve(name));
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (FileChannel channel : open.values()) {
+            channel.close();
+        }
+        open.clear();
+        // Closing the file gives up its lock, also where both are closed already.
+        lockFile.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/store/CrashTest.java
@@ -0,0 +1,166 @@
+package passhatch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import passhatch.lab.Seeds;
+import passhatch.lab.disk.FaultyDisk;
+import passhatch.lab.disk.FaultyDisk.Fault;
+
+/**
+ * A workload of a few hundred operations, stopped at every call of the disk: after recovery all that was
+ * acknowledged is there, and nothing that was not written is.
+ */
+class CrashTest {
+
+    private static final String OWNER = "owner";
+    private static final int SURVIVORS = 12;
+    private static final long CAPACITY = 1L << 28;
+
+    /** What the workload knows of its own store: numbers in the order in which they were written. */
+    private static final class Model {
+        final List<Integer> written = new ArrayList<>();
+        int acknowledged;
+        long epoch;
+        int next;
+    }
+
+    private static Entry entry(int n) {
+        byte[] bytes = new byte[4 + n % 40];
+        ByteBuffer.wrap(bytes).putInt(n);
+        return new Entry(1 + n % 5, bytes);
+    }
+
+    /** The state is all numbers so far, as one record each, so that a snapshot shows what it stands for. */
+    private static void work(FaultyDisk disk, Model model, int operations) throws StoreException {
+        UniformRandomProvider random = new Seeds(11).stream("work");
+        RecordLog log = RecordLog.open(disk, OWNER, e -> { });
+        model.epoch = log.epoch();
+        for (int i = 0; i < operations; i++) {
+            int what = random.nextInt(20);
+            if (what == 0) {
+                log.snapshot(model.written.stream().map(CrashTest::entry).toList());
+            } else if (what == 1) {
+                log.close();
+                log = RecordLog.open(disk, OWNER, e -> { });
+                model.epoch = log.epoch();
+            } else {
+                List<Entry> group = new ArrayList<>();
+                for (int n = random.nextInt(4); n >= 0; n--) {
+                    model.written.add(model.next);
+                    group.add(entry(model.next++));
+                }
+                log.append(group);
+                model.acknowledged = model.written.size();
+            }
+        }
+    }
+
+    private static void check(FaultyDisk left, Model model, String when) throws StoreException {
+        List<Entry> found = new ArrayList<>();
+        RecordLog log = RecordLog.open(left, OWNER, found::add);
+        assertTrue(found.size() >= model.acknowledged, when + ": " + found.size() + " of "
+                + model.acknowledged);
+        assertTrue(found.size() <= model.written.size(), when);
+        for (int i = 0; i < found.size(); i++) {
+            assertEquals(entry(model.written.get(i)), found.get(i), when);
+        }
+        assertTrue(log.epoch() > model.epoch, when + ": epoch " + log.epoch());
+        log.append(List.of(entry(1_000_000)));
+        List<Entry> again = new ArrayList<>();
+        RecordLog.open(left.copy(), OWNER, again::add);
+        assertEquals(found.size() + 1, again.size(), when);
+    }
+
+    /** How many runs of the workload lost something; with the process stopped at each call in turn. */
+    private static int crashEverywhere(Fault fault, boolean forgetful, int operations) throws StoreException {
+        FaultyDisk whole = new FaultyDisk(CAPACITY);
+        work(whole, new Model(), operations);
+        assertTrue(whole.calls() > 3L * operations, "the workload is too small");
+        int broken = 0;
+        for (long k = 0; k < whole.calls(); k++) {
+            FaultyDisk disk = new FaultyDisk(CAPACITY);
+            disk.forgetfulForce(forgetful);
+            disk.faultAt(k, fault);
+            Model model = new Model();
+            try {
+                work(disk, model, operations);
+            } catch (FaultyDisk.Stopped | StoreException.Failed stopped) {
+                // From here on only what is on the disk counts.
+            }
+            UniformRandomProvider random = new Seeds(k).stream("survivors");
+            for (int s = 0; s < SURVIVORS; s++) {
+                try {
+                    check(disk.afterPowerLoss(random), model, fault + " at call " + k + ", survivor " + s);
+                } catch (AssertionError | StoreException lost) {
+                    if (!forgetful) {
+                        throw lost;
+                    }
+                    broken++;
+                }
+            }
+        }
+        return broken;
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
+    void whatWasAcknowledgedIsThereAfterAnyStopOrError(Fault fault) throws StoreException {
+        crashEverywhere(fault, false, 300);
+    }
+
+    /** A disk that only says it has forced must show: else the test above would prove nothing. */
+    @Test
+    void aForceLeftOutIsSeen() throws StoreException {
+        assertTrue(crashEverywhere(Fault.STOP_AFTER, true, 30) > 0);
+    }
+
+    /** After an error nothing is acknowledged until the store was opened again; then it goes on. */
+    @Test
+    void aFullDiskFailsAndLosesNothing() throws StoreException {
+        FaultyDisk disk = new FaultyDisk(20_000);
+        Model model = new Model();
+        assertThrows(StoreException.Failed.class, () -> work(disk, model, 2_000));
+        assertTrue(model.acknowledged > 100);
+        List<Entry> found = new ArrayList<>();
+        Inspection.inspect(disk.afterPowerLoss(new Seeds(1).stream("full")), found::add);
+        assertTrue(found.size() >= model.acknowledged);
+    }
+
+    /**
+     * One flipped bit anywhere: told as damage, or in what never counted; never believed, never passed over.
+     */
+    @Test
+    void aFlippedBitIsNeverBelieved() throws Exception {
+        FaultyDisk disk = new FaultyDisk(CAPACITY);
+        Model model = new Model();
+        work(disk, model, 60);
+        int told = 0;
+        for (String name : disk.list()) {
+            int size = disk.read(name, Integer.MAX_VALUE).length;
+            for (int at = 0; at < size; at++) {
+                for (int bit = at % 3; bit < 8; bit += 3) {
+                    FaultyDisk flipped = disk.copy();
+                    flipped.flip(name, at, bit);
+                    List<Entry> found = new ArrayList<>();
+                    try {
+                        RecordLog.open(flipped, OWNER, found::add);
+                        assertEquals(model.written.stream().map(CrashTest::entry).toList(), found,
+                                name + ", byte " + at + ", bit " + bit);
+                    } catch (StoreException.Damaged damaged) {
+                        told++;
+                    }
+                }
+            }
+        }
+        assertTrue(told > 1_000, told + " were told");
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/store/StoreTest.java
@@ -0,0 +1,241 @@
+package passhatch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import passhatch.lab.Seeds;
+import passhatch.lab.disk.FaultyDisk;
+
+/**
+ * The rows of the table in docs/recovery.md that are not a matter of crashes, on a real folder where it
+ * counts.
+ */
+class StoreTest {
+
+    private static final long CAPACITY = 1L << 28;
+
+    @TempDir
+    private Path folder;
+
+    private static Entry entry(String text) {
+        return new Entry(3, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static List<Entry> contents(Disk disk) throws StoreException {
+        List<Entry> found = new ArrayList<>();
+        RecordLog.open(disk, "me", found::add);
+        return found;
+    }
+
+    private static void flip(Path file, long at) throws Exception {
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[(int) at] ^= 4;
+        Files.write(file, bytes);
+    }
+
+    @Test
+    void aRealFolderKeepsRecordsSnapshotsAndEpochs() throws Exception {
+        for (int i = 1; i <= 3; i++) {
+            List<Entry> found = new ArrayList<>();
+            try (RecordLog log = RecordLog.open(FolderDisk.take(folder), "me", found::add)) {
+                assertEquals(i, log.epoch());
+                assertEquals(i == 1 ? 0 : 2, found.size());
+                log.append(List.of(entry("a" + i), entry("b" + i)));
+                log.snapshot(List.of(entry("s" + i)));
+                log.append(List.of(entry("c" + i)));
+            }
+        }
+        try (FolderDisk disk = FolderDisk.take(folder)) {
+            assertEquals(List.of(entry("s3"), entry("c3")), contents(disk));
+            assertEquals(3, disk.list().size(), "a snapshot, its segment and the new one: " + disk.list());
+        }
+    }
+
+    @Test
+    void oneProcessHasAFolderAtATime() throws Exception {
+        try (FolderDisk held = FolderDisk.take(folder)) {
+            StoreException told = assertThrows(StoreException.InUse.class, () -> FolderDisk.take(folder));
+            assertTrue(told.getMessage().contains("in use by another process"), told.getMessage());
+            assertEquals(List.of(), held.list());
+        }
+        FolderDisk.take(folder).close();
+    }
+
+    @Test
+    void anotherOwnersFolderAndANewerOneAreLeftAlone() throws Exception {
+        FaultyDisk disk = new FaultyDisk(CAPACITY);
+        RecordLog.open(disk, "you", e -> { }).append(List.of(entry("x")));
+        List<String> before = disk.list();
+        StoreException told = assertThrows(StoreException.Foreign.class, () -> contents(disk));
+        assertTrue(told.getMessage().contains("belongs to 'you', not to 'me'"), told.getMessage());
+        assertThrows(StoreException.Foreign.class, () -> RecordLog.openOrSetAside(disk, "me", e -> { }));
+        assertEquals(before, disk.list());
+        FaultyDisk newer = new FaultyDisk(CAPACITY);
+        ByteBuffer head = Format.head(new Format.Head(false, Format.VERSION + 1, "me", 1, 1));
+        newer.overwrite(Format.segment(1), head.array());
+        told = assertThrows(StoreException.Foreign.class, () -> contents(newer));
+        assertTrue(told.getMessage().contains("format version 2"), told.getMessage());
+    }
+
+    /**
+     * Damage in the middle: promises refuse with file and byte, a help is set aside, salvage saves the rest.
+     */
+    @Test
+    void damageInTheMiddleIsToldAndSalvaged() throws Exception {
+        try (RecordLog log = RecordLog.open(FolderDisk.take(folder), "me", e -> { })) {
+            for (int i = 0; i < 10; i++) {
+                log.append(List.of(entry("record " + i)));
+            }
+        }
+        Path segment = folder.resolve(Format.segment(1));
+        flip(segment, Format.HEAD_BYTES + 150);
+        try (FolderDisk disk = FolderDisk.take(folder)) {
+            StoreException told = assertThrows(StoreException.Damaged.class, () -> contents(disk));
+            assertTrue(told.getMessage().matches("segment-0{15}1, byte \\d+: record \\d+ does not check"),
+                    told.getMessage());
+            List<Entry> saved = new ArrayList<>();
+            Inspection.Report report = Inspection.inspect(disk, saved::add);
+            assertEquals(9, report.records());
+            assertEquals(1, report.damage().size());
+            try (FolderDisk to = FolderDisk.take(folder.resolve("to"))) {
+                Inspection.salvage(disk, to, "me");
+            }
+            try (FolderDisk to = FolderDisk.take(folder.resolve("to"))) {
+                assertEquals(saved, contents(to));
+            }
+            RecordLog help = RecordLog.openOrSetAside(disk, "me", e -> {
+                throw new AssertionError("nothing of it is believed");
+            });
+            assertTrue(help.notes().toString().contains("set aside"), help.notes().toString());
+            help.append(List.of(entry("new")));
+            assertEquals(List.of(entry("new")), contents(disk));
+        }
+    }
+
+    @Test
+    void aMissingSegmentIsDamage() throws Exception {
+        FaultyDisk disk = new FaultyDisk(CAPACITY);
+        for (int i = 0; i < 3; i++) {
+            RecordLog.open(disk, "me", e -> { }).append(List.of(entry("x")));
+        }
+        disk.delete(Format.segment(2));
+        StoreException told = assertThrows(StoreException.Damaged.class, () -> contents(disk));
+        assertTrue(told.getMessage().contains("records 2 to 2 before it are missing"), told.getMessage());
+    }
+
+    @Test
+    void whatIsTooLargeIsRefusedAndTheRestGoesOn() throws Exception {
+        FaultyDisk disk = new FaultyDisk(CAPACITY);
+        RecordLog log = RecordLog.open(disk, "me", e -> { });
+        Entry large = new Entry(1, new byte[Format.MOST_RECORD + 1]);
+        assertThrows(StoreException.TooLarge.class, () -> log.append(List.of(entry("a"), large)));
+        Entry most = new Entry(1, new byte[Format.MOST_RECORD]);
+        long fits = Format.MOST_ALL / Format.size(most.bytes());
+        StoreException full = assertThrows(StoreException.TooLarge.class, () -> {
+            for (long i = 0; i <= fits; i++) {
+                log.append(List.of(most));
+            }
+        });
+        assertTrue(full.getMessage().contains("would hold over"), full.getMessage());
+        assertTrue(log.wantsSnapshot());
+        log.snapshot(List.of(entry("s")));
+        log.append(List.of(entry("b")));
+        assertEquals(List.of(entry("s"), entry("b")), contents(disk));
+    }
+
+    @Test
+    void manyThreadsShareALogAndEachIsToldOfItsOwn() throws Exception {
+        FaultyDisk disk = new FaultyDisk(CAPACITY);
+        try (GroupCommit group = new GroupCommit(RecordLog.open(disk, "me", e -> { }))) {
+            List<CompletableFuture<Long>> all = IntStream.range(0, 500).parallel().mapToObj(i -> {
+                try {
+                    return group.submit(i == 250 ? new Entry(1, new byte[Format.MOST_RECORD + 1])
+                            : entry("r" + i));
+                } catch (InterruptedException stop) {
+                    throw new IllegalStateException(stop);
+                }
+            }).toList();
+            long good = 0;
+            for (CompletableFuture<Long> one : all) {
+                try {
+                    one.join();
+                    good++;
+                } catch (CompletionException tooLarge) {
+                    assertTrue(tooLarge.getCause() instanceof StoreException.TooLarge, tooLarge.toString());
+                }
+            }
+            assertEquals(499, good);
+        }
+        assertEquals(499, contents(disk).size());
+    }
+
+    /**
+     * No bytes whatever make reading do anything but end well or name what is wrong: all of a file at
+     * random, good files with pieces overwritten, cut, doubled and moved.
+     */
+    @Test
+    void noInputBreaksReading() throws Exception {
+        UniformRandomProvider random = new Seeds(4).stream("fuzz");
+        FaultyDisk good = new FaultyDisk(CAPACITY);
+        RecordLog log = RecordLog.open(good, "me", e -> { });
+        log.append(IntStream.range(0, 30).mapToObj(i -> entry("record " + i)).toList());
+        log.snapshot(List.of(entry("s"), entry("t")));
+        log.append(List.of(entry("u"), entry("v")));
+        List<String> names = good.list();
+        int read = 0;
+        for (int i = 0; i < 30_000; i++) {
+            FaultyDisk disk = good.copy();
+            String name = names.get(random.nextInt(names.size()));
+            disk.overwrite(name, mutated(disk.read(name, 1 << 20), random));
+            try {
+                RecordLog.open(disk, "me", e -> { });
+                read++;
+            } catch (StoreException named) {
+                assertEquals(1, named.getMessage().lines().count());
+            }
+            Inspection.inspect(disk, e -> { });
+        }
+        assertTrue(read > 300 && read < 29_000, read + " were read without an error");
+    }
+
+    private static byte[] mutated(byte[] from, UniformRandomProvider random) {
+        int at = random.nextInt(from.length + 1);
+        int length = random.nextInt(from.length - at + 1);
+        ByteBuffer out;
+        switch (random.nextInt(4)) {
+            case 0 -> {
+                byte[] noise = new byte[random.nextInt(400)];
+                random.nextBytes(noise);
+                return noise;
+            }
+            case 1 -> {
+                byte[] noise = new byte[length % 9];
+                random.nextBytes(noise);
+                out = ByteBuffer.allocate(from.length + noise.length);
+                out.put(from, 0, at).put(noise).put(from, at, from.length - at);
+            }
+            case 2 -> {
+                out = ByteBuffer.allocate(from.length - length);
+                out.put(from, 0, at).put(from, at + length, from.length - at - length);
+            }
+            default -> {
+                out = ByteBuffer.allocate(from.length + length);
+                out.put(from, 0, at + length).put(from, at, from.length - at);
+            }
+        }
+        return out.array();
+    }
+}
