Bound the load tool's connections, and measure it and the store from the command line

Symptom: the gauge at 20,000 requests a second from a JVM just started opened connections until the descriptors ran out and never ended: each request without a free connection opened one. Change: a thread opens 2,000 at most; past that requests wait, and that counts in their latency. 'drill gauge' measures the load tool against stand-ins alone after a warm-up, 'store-bench DIR' the store on a real folder.

--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -16,6 +16,7 @@
     }
 
     static CommandLine line() {
-        return Commands.oneLineErrors(Commands.line().addSubcommand(DrillCommand.line()));
+        return Commands.oneLineErrors(Commands.line().addSubcommand(DrillCommand.line())
+                .addSubcommand(new StoreBench()));
     }
 }
--- /dev/null
+++ b/src/main/java/passhatch/lab/StoreBench.java
@@ -0,0 +1,123 @@
+package passhatch.lab;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import passhatch.cli.Commands.BadInput;
+import passhatch.store.Entry;
+import passhatch.store.FolderDisk;
+import passhatch.store.GroupCommit;
+import passhatch.store.RecordLog;
+import passhatch.store.StoreException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Measures the store on a real folder: writing beside a plain write and force, and opening a full one. */
+@Command(name = "store-bench", mixinStandardHelpOptions = true,
+        description = "Measures the store's writing and recovery in a new folder, which is left there.")
+final class StoreBench implements Callable<Integer> {
+
+    private static final int PLAIN_ROUNDS = 200;
+    private static final int OPENINGS = 15;
+
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "DIR", description = "A folder that is not there yet.")
+    private Path folder;
+    @Option(names = "--records", defaultValue = "20000", description =
+            "How many to write (${DEFAULT-VALUE}).")
+    private int records;
+    @Option(names = "--bytes", defaultValue = "100", description = "Of each record (${DEFAULT-VALUE}).")
+    private int bytes;
+    @Option(names = "--threads", defaultValue = "32", description =
+            "That write at a time (${DEFAULT-VALUE}).")
+    private int threads;
+
+    @Override
+    public Integer call() throws IOException, StoreException, InterruptedException {
+        if (Files.exists(folder)) {
+            throw new BadInput(folder + ": is there already");
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf(Locale.ROOT, "plain write and force of one record: %.0f records a second%n", plain());
+        out.printf(Locale.ROOT, "group commit, %d threads: %.0f records a second%n", threads, grouped());
+        Histogram us = openings();
+        out.printf(Locale.ROOT, "opening a store of %.1f MiB, %d times: median %.1f ms, worst %.1f ms%n",
+                storeBytes() / 1048576.0, OPENINGS, us.getValueAtPercentile(50) / 1e3,
+                        us.getMaxValue() / 1e3);
+        out.flush();
+        return 0;
+    }
+
+    private double plain() throws IOException, StoreException {
+        try (FolderDisk disk = FolderDisk.take(folder.resolve("plain"))) {
+            disk.create("file");
+            long beganNs = System.nanoTime();
+            for (int i = 0; i < PLAIN_ROUNDS; i++) {
+                disk.append("file", ByteBuffer.allocate(bytes));
+                disk.force("file");
+            }
+            return PLAIN_ROUNDS / ((System.nanoTime() - beganNs) / 1e9);
+        }
+    }
+
+    private double grouped() throws IOException, StoreException, InterruptedException {
+        try (GroupCommit group = new GroupCommit(RecordLog.open(FolderDisk.take(folder.resolve("store")),
+                "bench",
+                e -> { }))) {
+            long beganNs = System.nanoTime();
+            List<Thread> writers = new ArrayList<>();
+            for (int t = 0; t < threads; t++) {
+                writers.add(new Thread(() -> write(group)));
+            }
+            writers.forEach(Thread::start);
+            for (Thread writer : writers) {
+                writer.join();
+            }
+            return (double) (records / threads * threads) / ((System.nanoTime() - beganNs) / 1e9);
+        }
+    }
+
+    private void write(GroupCommit group) {
+        try {
+            for (int i = 0; i < records / threads; i++) {
+                group.submit(new Entry(1, new byte[bytes])).join();
+            }
+        } catch (InterruptedException stop) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Histogram openings() throws IOException, StoreException {
+        Histogram us = new Histogram(TimeUnit.MINUTES.toMicros(1), 3);
+        for (int i = 0; i < OPENINGS; i++) {
+            long beganNs = System.nanoTime();
+            RecordLog.open(FolderDisk.take(folder.resolve("store")), "bench", e -> { }).close();
+            us.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - beganNs));
+        }
+        return us;
+    }
+
+    private long storeBytes() throws IOException {
+        try (FolderDisk disk = FolderDisk.take(folder.resolve("store"))) {
+            long sum = 0;
+            for (String name : disk.list()) {
+                sum += disk.size(name);
+            }
+            return sum;
+        } catch (StoreException inUse) {
+            throw new IOException(inUse);
+        }
+    }
+}
--- a/src/main/java/passhatch/lab/drill/DrillCommand.java
+++ b/src/main/java/passhatch/lab/drill/DrillCommand.java
@@ -38,7 +38,8 @@
     /** The command with its own commands. */
     public static CommandLine line() {
         return new CommandLine(new DrillCommand()).addSubcommand(new Run()).addSubcommand(new Check())
-                .addSubcommand(new Compare());
+                .addSubcommand(new Compare())
+                .addSubcommand(new Gauge());
     }
 
     @Override
--- a/src/main/java/passhatch/lab/load/ClientChannel.java
+++ b/src/main/java/passhatch/lab/load/ClientChannel.java
@@ -74,6 +74,8 @@
                     }
                 }).connect(proxy.address());
         channel = connecting.channel();
+        sender.opened();
+        channel.closeFuture().addListener(closed -> sender.closed());
         connecting.addListener(up -> {
             if (up.isSuccess()) {
                 write();
--- a/src/main/java/passhatch/lab/load/Sender.java
+++ b/src/main/java/passhatch/lab/load/Sender.java
@@ -15,6 +15,8 @@
 final class Sender {
 
     private static final long TICK_US = 500;
+    /** Connections that a thread may have open: past that requests wait, and their waiting counts. */
+    private static final int MOST_OPEN = 2_000;
     /** A request without an answer so long after its time is lost. */
     private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -26,6 +28,9 @@
     private final Promise<Tally> done;
     private final Tally tally = new Tally();
     private final Map<Front.Entry, ArrayDeque<ClientChannel>> idle = new HashMap<>();
+    /** Requests for which no connection may be opened now, the first due first. */
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private int openChannels;
     private final ContinuousSampler gapNs;
     private final double totalShare;
     private final String idPrefix;
@@ -114,7 +119,25 @@
         return null;
     }
 
+    void opened() {
+        openChannels++;
+    }
+
+    void closed() {
+        openChannels--;
+        Call next = waiting.poll();
+        if (next != null) {
+            // In a later step: this one may be within the end of another request.
+            loop.execute(() -> next.attempt(front.next(turn++, null)));
+        }
+    }
+
     void keep(Front.Entry proxy, ClientChannel channel) {
+        Call next = waiting.poll();
+        if (next != null) {
+            next.attemptOn(proxy, channel);
+            return;
+        }
         ArrayDeque<ClientChannel> kept = idle.computeIfAbsent(proxy, p -> new ArrayDeque<>());
         if (kept.size() >= Math.max(1, plan.connections() / plan.threads())) {
             channel.close();
@@ -163,15 +186,30 @@
         }
 
         void attempt(Front.Entry to) {
-            if (to == null) {
+            if (to == null || ended) {
                 end(Outcome.CUT); // no proxy is there at all
                 return;
             }
+            ClientChannel kept = takeIdle(to);
+            if (kept == null && openChannels >= MOST_OPEN) {
+                waiting.add(this);
+            } else {
+                attemptOn(to, kept);
+            }
+        }
+
+        private void attemptOn(Front.Entry to, ClientChannel on) {
+            if (ended) {
+                if (on != null) {
+                    keep(to, on);
+                }
+                return;
+            }
             tries++;
             id = idPrefix + Long.toHexString(sequence++);
             key = key == null ? id : key;
             resent = false;
-            send(to, takeIdle(to));
+            send(to, on);
         }
 
         private void send(Front.Entry to, ClientChannel kept) {
