--- a/src/main/java/passhatch/store/Inspection.java
+++ b/src/main/java/passhatch/store/Inspection.java
@@ -33,8 +33,7 @@
             List<String> notes = new ArrayList<>();
             List<String> damage = new ArrayList<>();
             for (Reader.Fault fault : found.faults()) {
-                (fault.acknowledged() ? damage : notes).add(fault.file() + ", byte " + fault.at() + ": "
-                        + fault.what());
+                (fault.acknowledged() ? damage : notes).add(fault.text());
             }
             return new Report(records[0], found.last(), found.epoch(), notes, damage);
         } catch (IOException failed) {
--- a/src/main/java/passhatch/store/Reader.java
+++ b/src/main/java/passhatch/store/Reader.java
@@ -15,7 +15,11 @@
 final class Reader {
 
     /** What is wrong with one place; {@code acknowledged} where it may have been promised to somebody. */
-    record Fault(String file, long at, String what, boolean acknowledged) { }
+    record Fault(String file, long at, String what, boolean acknowledged) {
+        String text() {
+            return file + ", byte " + at + ": " + what;
+        }
+    }
 
     /**
      * What was found.
--- a/src/main/java/passhatch/store/RecordLog.java
+++ b/src/main/java/passhatch/store/RecordLog.java
@@ -19,6 +19,10 @@
 
     /** So many bytes after the snapshot are worth a new one. */
     private static final long WORTH_A_SNAPSHOT = 1L << 20;
+    /** A segment without records: its head and the first mark. */
+    private static final int EMPTY_SEGMENT = Format.HEAD_BYTES + Format.RECORD_HEAD;
+    /** What the files of a damaged store are called once it was set aside. */
+    private static final String ASIDE = "damaged-";
 
     private final Disk disk;
     private final String owner;
@@ -55,12 +59,12 @@
             List<String> notes = new ArrayList<>();
             for (Reader.Fault fault : found.faults()) {
                 if (fault.acknowledged()) {
-                    throw new StoreException.Damaged(fault.file(), fault.at(), fault.what());
+                    throw new StoreException.Damaged(fault.text());
                 }
-                notes.add(fault.file() + ", byte " + fault.at() + ": " + fault.what());
+                notes.add(fault.text());
             }
             if (found.epoch() == Long.MAX_VALUE || found.last() == Long.MAX_VALUE) {
-                throw new StoreException.Damaged(owner, 0, "there are no numbers left");
+                throw new StoreException.Damaged("there are no numbers left for " + owner);
             }
             RecordLog log = new RecordLog(disk, owner, found.epoch() + 1, found.last(), notes);
             log.begin(found);
@@ -99,9 +103,6 @@
         }
     }
 
-    /** What the files of a damaged store are called once it was set aside. */
-    private static final String ASIDE = "damaged-";
-
     private void begin(Reader.Found found) throws IOException {
         if (!found.segments().isEmpty()) {
             String tail = found.segments().get(found.segments().size() - 1);
@@ -126,7 +127,7 @@
             disk.replace(reused, firstBytes());
             disk.append(reused, mark());
             segment = reused;
-            segmentBytes = Format.HEAD_BYTES + Format.RECORD_HEAD;
+            segmentBytes = EMPTY_SEGMENT;
         } else {
             roll();
         }
@@ -149,7 +150,7 @@
         disk.forceFolder();
         disk.append(next, mark());
         segment = next;
-        segmentBytes = Format.HEAD_BYTES + Format.RECORD_HEAD;
+        segmentBytes = EMPTY_SEGMENT;
         allBytes += segmentBytes;
         logBytes += segmentBytes;
     }
@@ -193,20 +194,12 @@
         check();
         long size = Format.RECORD_HEAD;
         for (Entry e : entries) {
-            if (e.bytes().length > Format.MOST_RECORD) {
-                throw new StoreException.TooLarge("a record of " + e.bytes().length + " bytes; at most "
-                        + Format.MOST_RECORD + " are allowed");
-            }
-            if (e.kind() <= Format.MARK || e.kind() > Entry.MOST_KIND) {
-                throw new IllegalArgumentException("kind " + e.kind() + " is not from 1 to "
-                        + Entry.MOST_KIND);
-            }
-            size += Format.size(e.bytes());
+            size += checkedSize(e);
         }
         if (allBytes + size > Format.MOST_ALL) {
             throw new StoreException.TooLarge("the store would hold over " + Format.MOST_ALL + " bytes");
         }
-        if (size > Format.MOST_SEGMENT - Format.HEAD_BYTES - Format.RECORD_HEAD) {
+        if (size > Format.MOST_SEGMENT - EMPTY_SEGMENT) {
             throw new StoreException.TooLarge(entries.size() + " records at a time are over "
                     + Format.MOST_SEGMENT
                     + " bytes");
@@ -242,10 +235,7 @@
         check();
         long size = Format.HEAD_BYTES + Format.RECORD_HEAD;
         for (Entry e : state) {
-            if (e.bytes().length > Format.MOST_RECORD) {
-                throw new StoreException.TooLarge("a record of " + e.bytes().length + " bytes");
-            }
-            size += Format.size(e.bytes());
+            size += checkedSize(e);
         }
         if (size > Format.MOST_ALL / 2) {
             throw new StoreException.TooLarge("a snapshot of " + size
@@ -261,13 +251,10 @@
         Format.put(out, count, Format.MARK, new byte[0]);
         try {
             String name = Format.snapshot(last);
-            if (segmentBytes > Format.HEAD_BYTES + Format.RECORD_HEAD) {
-                disk.replace(name, out.flip());
+            disk.replace(name, out.flip());
+            if (segmentBytes > EMPTY_SEGMENT) {
                 roll();
-            } else {
-                // Nothing was written since this segment began: it goes on behind the new snapshot.
-                disk.replace(name, out.flip());
-            }
+            } // else it goes on behind the new snapshot: nothing was written since it began
             old.remove(name);
             for (String before : old) {
                 disk.delete(before);
@@ -281,6 +268,18 @@
         }
     }
 
+    /** Bytes that a record takes, if it is one that may be written. */
+    private static int checkedSize(Entry e) throws StoreException.TooLarge {
+        if (e.bytes().length > Format.MOST_RECORD) {
+            throw new StoreException.TooLarge("a record of " + e.bytes().length + " bytes; at most "
+                    + Format.MOST_RECORD + " are allowed");
+        }
+        if (e.kind() <= Format.MARK || e.kind() > Entry.MOST_KIND) {
+            throw new IllegalArgumentException("kind " + e.kind() + " is not from 1 to " + Entry.MOST_KIND);
+        }
+        return Format.size(e.bytes());
+    }
+
     private void check() throws StoreException {
         if (broken != null) {
             throw new StoreException.Failed(broken.getMessage(), broken.getCause());
--- a/src/main/java/passhatch/store/StoreException.java
+++ b/src/main/java/passhatch/store/StoreException.java
@@ -17,8 +17,8 @@
     public static final class Damaged extends StoreException {
         private static final long serialVersionUID = 1L;
 
-        Damaged(String file, long at, String what) {
-            super(file + ", byte " + at + ": " + what);
+        Damaged(String message) {
+            super(message);
         }
     }
 
--- a/src/test/java/passhatch/store/StoreTest.java
+++ b/src/test/java/passhatch/store/StoreTest.java
@@ -142,6 +142,11 @@
         RecordLog log = RecordLog.open(disk, "me", e -> { });
         Entry large = new Entry(1, new byte[Format.MOST_RECORD + 1]);
         assertThrows(StoreException.TooLarge.class, () -> log.append(List.of(entry("a"), large)));
+        assertThrows(StoreException.TooLarge.class, () -> log.snapshot(List.of(large)));
+        // Its number is a mark's: a snapshot with one in it would not be read again.
+        Entry mark = new Entry(Format.MARK, new byte[0]);
+        assertThrows(IllegalArgumentException.class, () -> log.append(List.of(mark)));
+        assertThrows(IllegalArgumentException.class, () -> log.snapshot(List.of(mark)));
         Entry most = new Entry(1, new byte[Format.MOST_RECORD]);
         long fits = Format.MOST_ALL / Format.size(most.bytes());
         StoreException full = assertThrows(StoreException.TooLarge.class, () -> {
