Use one group of commands, the JDK's conversion of times, and drop what nothing calls

Need: three commands had the same words for a missing command, and that of drill no longer named all of them; two looked at a folder with the same lines; four places converted times by hand; each signal of a fault had its own check; the wait for a process's first line read its log twice. Change: CommandGroup names the commands that there are; StoreCommand.Look; TimeUnit.convert; FaultRunner.signal; one condition for that wait. Front.size, the number of an entry and Child.name, which nothing called, are gone.

--- a/src/main/java/passhatch/cli/Commands.java
+++ b/src/main/java/passhatch/cli/Commands.java
@@ -70,15 +70,7 @@
     @Command(name = "passhatch", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description = "A load-balancing HTTP/1.1 proxy for services that call services.",
             footer = {"", "The tools around it (drill) are in passhatch-lab.jar."})
-    private static final class Root implements Runnable {
-        @CommandLine.Spec
-        private CommandLine.Model.CommandSpec spec;
-
-        @Override
-        public void run() {
-            throw new ParameterException(spec.commandLine(), "no command is given");
-        }
-    }
+    private static final class Root extends CommandGroup { }
 
     @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
             description =
--- a/src/main/java/passhatch/cli/StoreCommand.java
+++ b/src/main/java/passhatch/cli/StoreCommand.java
@@ -24,20 +24,28 @@
 /** The command {@code store} with what belongs to it. A folder that a process has is not looked at. */
 @Command(name = "store", mixinStandardHelpOptions = true,
         description = "Looks at what a process keeps on disk; docs/recovery.md says more.")
-final class StoreCommand implements Runnable {
-
-    @Spec
-    private CommandSpec spec;
+final class StoreCommand extends CommandGroup {
 
     static CommandLine line() {
         return new CommandLine(new StoreCommand()).addSubcommand(new Verify()).addSubcommand(new Dump())
                 .addSubcommand(new Salvage());
     }
 
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(),
-                "no command is given: verify, dump or salvage");
+    /** One that looks at a folder and leaves it as it is. */
+    private abstract static class Look implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "DIR")
+        private Path folder;
+
+        @Override
+        public final Integer call() throws IOException, StoreException {
+            try (FolderDisk disk = take(folder)) {
+                return look(disk, spec.commandLine());
+            }
+        }
+
+        abstract int look(FolderDisk disk, CommandLine line) throws StoreException;
     }
 
     private static FolderDisk take(Path folder) throws IOException, StoreException {
@@ -58,36 +66,22 @@
 
     @Command(name = "verify", mixinStandardHelpOptions = true,
             description = "Reads all of a store and changes nothing; exit code 1 where something is damaged.")
-    private static final class Verify implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Parameters(paramLabel = "DIR")
-        private Path folder;
-
+    private static final class Verify extends Look {
         @Override
-        public Integer call() throws IOException, StoreException {
-            try (FolderDisk disk = take(folder)) {
-                return tell(Inspection.inspect(disk, entry -> { }), spec.commandLine().getOut());
-            }
+        int look(FolderDisk disk, CommandLine line) throws StoreException {
+            return tell(Inspection.inspect(disk, entry -> { }), line.getOut());
         }
     }
 
     @Command(name = "dump", mixinStandardHelpOptions = true,
             description = "Writes each record that can be read as a line of JSON, its bytes in Base64.")
-    private static final class Dump implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Parameters(paramLabel = "DIR")
-        private Path folder;
-
+    private static final class Dump extends Look {
         @Override
-        public Integer call() throws IOException, StoreException {
-            PrintWriter out = spec.commandLine().getOut();
-            try (FolderDisk disk = take(folder)) {
-                Inspection.Report report = Inspection.inspect(disk, entry -> out.println(json(entry)));
-                out.flush();
-                return tell(report, spec.commandLine().getErr());
-            }
+        int look(FolderDisk disk, CommandLine line) throws StoreException {
+            PrintWriter out = line.getOut();
+            Inspection.Report report = Inspection.inspect(disk, entry -> out.println(json(entry)));
+            out.flush();
+            return tell(report, line.getErr());
         }
 
         private static String json(Entry entry) {
--- a/src/main/java/passhatch/lab/drill/Child.java
+++ b/src/main/java/passhatch/lab/drill/Child.java
@@ -27,10 +27,6 @@
         this.log = log;
     }
 
-    String name() {
-        return name;
-    }
-
     /** Starts it, or starts it again once it has ended. */
     synchronized void start() throws IOException {
         if (alive()) {
--- a/src/main/java/passhatch/lab/drill/Drill.java
+++ b/src/main/java/passhatch/lab/drill/Drill.java
@@ -128,6 +128,6 @@
                 .toMillis(),
                 load.retries(), load.connections(), load.threads(), scenario.classes().stream()
                 .map(k -> new LoadPlan.Kind(k.name(), k.effect(), k.share(),
-                        TimeUnit.NANOSECONDS.toMicros(k.deadline().toNanos()))).toList());
+                        TimeUnit.MICROSECONDS.convert(k.deadline()))).toList());
     }
 }
--- a/src/main/java/passhatch/lab/drill/DrillCommand.java
+++ b/src/main/java/passhatch/lab/drill/DrillCommand.java
@@ -13,6 +13,8 @@
 import java.util.stream.Stream;
 import me.tongfei.progressbar.ProgressBar;
 import me.tongfei.progressbar.ProgressBarBuilder;
+import passhatch.cli.CommandGroup;
+import passhatch.cli.Commands;
 import passhatch.cli.Commands.BadInput;
 import passhatch.lab.LabLog;
 import picocli.CommandLine;
@@ -25,14 +27,11 @@
 /** The command {@code drill} with what belongs to it. */
 @Command(name = "drill", mixinStandardHelpOptions = true,
         description = "Runs real processes of the program with faults between them.")
-public final class DrillCommand implements Runnable {
+public final class DrillCommand extends CommandGroup {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RESULT = "result.json";
 
-    @Spec
-    private CommandSpec spec;
-
     private DrillCommand() { }
 
     /** The command with its own commands. */
@@ -42,12 +41,6 @@
                 .addSubcommand(new Gauge());
     }
 
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(),
-                "no command is given: run, check or compare");
-    }
-
     /** Runs a scenario, as often as is wanted. */
     @Command(name = "run", mixinStandardHelpOptions = true,
             description = "Runs a scenario. Exit code 0 only if all that it expects holds.")
@@ -143,7 +136,7 @@
                     bad++;
                 }
             }
-            return bad == 0 ? 0 : 2;
+            return bad == 0 ? 0 : Commands.USAGE;
         }
     }
 
--- a/src/main/java/passhatch/lab/drill/FaultRunner.java
+++ b/src/main/java/passhatch/lab/drill/FaultRunner.java
@@ -63,20 +63,20 @@
         switch (kind) {
             case KILL -> {
                 front.hurt(number, true);
-                require(proxy.child().signal("KILL"), proxy.name() + " does not run");
+                signal(proxy, "KILL");
                 noticed(number);
             }
             case TERM -> {
-                require(proxy.child().signal("TERM"), proxy.name() + " does not run");
+                signal(proxy, "TERM");
                 noticed(number);
             }
             case STOP -> {
                 front.hurt(number, true);
-                require(proxy.child().signal("STOP"), proxy.name() + " does not run");
+                signal(proxy, "STOP");
                 noticed(number);
             }
             case CONT -> {
-                require(proxy.child().signal("CONT"), proxy.name() + " does not run");
+                signal(proxy, "CONT");
                 front.hurt(number, false);
                 front.admit(number, true);
             }
@@ -84,9 +84,9 @@
         }
     }
 
-    private static void require(boolean done, String why) throws IOException {
-        if (!done) {
-            throw new IOException(why);
+    private static void signal(ProxyChild proxy, String name) throws IOException, InterruptedException {
+        if (!proxy.child().signal(name)) {
+            throw new IOException(proxy.name() + " does not run");
         }
     }
 
@@ -176,7 +176,7 @@
     /** Kinds of bad weather add up; a heal ends all of them. */
     private void peers(FaultPlan.Step step) {
         double share = step.of().share();
-        long us = TimeUnit.NANOSECONDS.toMicros(step.of().by().toNanos());
+        long us = TimeUnit.MICROSECONDS.convert(step.of().by());
         Weather w = weather;
         switch (step.kind()) {
             case LOSE -> weather = new Weather(share, w.doubled(), w.cut(), w.reordered(), w.delayUs(),
--- a/src/main/java/passhatch/lab/drill/Field.java
+++ b/src/main/java/passhatch/lab/drill/Field.java
@@ -68,10 +68,8 @@
 
     private static BackendServer.Shape shape(Scenario.Backends b) {
         return new BackendServer.Shape(b.cores(), b.slots(), b.queue(), b.connections(),
-                new ServiceTime(b.service().distribution(), TimeUnit.NANOSECONDS.toMicros(b.service().mean()
-                        .toNanos()),
-                        b.service().sigma()), b.coldShare(), TimeUnit.NANOSECONDS.toMicros(b.coldFor()
-                                .toNanos()));
+                new ServiceTime(b.service().distribution(), TimeUnit.MICROSECONDS.convert(b.service().mean()),
+                        b.service().sigma()), b.coldShare(), TimeUnit.MICROSECONDS.convert(b.coldFor()));
     }
 
     private static InetSocketAddress freeDatagramPort() throws IOException {
--- a/src/main/java/passhatch/lab/drill/ProxyChild.java
+++ b/src/main/java/passhatch/lab/drill/ProxyChild.java
@@ -114,7 +114,8 @@
                 "retryAfter", true, "maxRetryAfterUs", 2_000_000, "maxStreams", 1, "keepaliveUs", 10_000_000,
                 "connectTimeoutUs", 250_000));
         settings.put("rules", Map.of("drainGraceUs", 750_000, "coldFrom", s.backends().coldShare(), "coldUs",
-                Math.max(1, micros(s.backends().coldFor())), "tipMultiple", 2.5, "overloadForUs", 1_000_000));
+                Math.max(1, TimeUnit.MICROSECONDS.convert(s.backends().coldFor())), "tipMultiple", 2.5,
+                        "overloadForUs", 1_000_000));
         Map<String, Object> config = new HashMap<>();
         config.put("name", name());
         config.put("seed", Long.toHexString(s.seed() * 1_000_003 + number));
@@ -135,12 +136,10 @@
             case KEYED -> "token";
             case UNSAFE -> "side_effect";
         };
-        return Map.of("name", kind.name(), "effect", effect, "goalTimeUs", micros(kind.aim()), "deadlineUs",
-                micros(kind.deadline()), "worth", 1, "dedupWindowUs", 6_000_000, "group", "all");
-    }
-
-    private static long micros(java.time.Duration d) {
-        return TimeUnit.NANOSECONDS.toMicros(d.toNanos());
+        return Map.of("name", kind.name(), "effect", effect, "goalTimeUs",
+                TimeUnit.MICROSECONDS.convert(kind.aim()), "deadlineUs",
+                TimeUnit.MICROSECONDS.convert(kind.deadline()), "worth", 1, "dedupWindowUs", 6_000_000,
+                        "group", "all");
     }
 
     static String text(InetSocketAddress address) {
@@ -152,19 +151,16 @@
         for (int i = 1; ; i++) {
             child.start();
             // A taken port shows as an end within the start; all else shows later, as it does not get ready.
-            if (awaitReadyOrEnd() || i == TRIES || !child.logEnd().contains("Address already in use")) {
+            if (awaitListeningOrEnd() || i == TRIES || !child.logEnd().contains("Address already in use")) {
                 return;
             }
             chooseAddresses();
         }
     }
 
-    private boolean awaitReadyOrEnd() throws InterruptedException {
-        while (child.alive() && !ready()) {
+    private boolean awaitListeningOrEnd() throws InterruptedException {
+        while (child.alive() && !child.logEnd().contains("listening on") && !ready()) {
             Thread.sleep(POLL_MS);
-            if (!child.logEnd().isEmpty() && child.logEnd().contains("listening on")) {
-                return true;
-            }
         }
         return child.alive();
     }
--- a/src/main/java/passhatch/lab/load/Front.java
+++ b/src/main/java/passhatch/lab/load/Front.java
@@ -11,21 +11,15 @@
 
     /** One proxy as the front knows it. */
     static final class Entry {
-        private final int number;
         private final InetSocketAddress address;
         private volatile boolean admitted;
         private volatile boolean hurt;
         private volatile long hurtUntilNs = Long.MIN_VALUE;
 
-        Entry(int number, InetSocketAddress address) {
-            this.number = number;
+        Entry(InetSocketAddress address) {
             this.address = address;
         }
 
-        int number() {
-            return number;
-        }
-
         InetSocketAddress address() {
             return address;
         }
@@ -40,8 +34,7 @@
 
     /** A front before these proxies, none of which is admitted yet. */
     public Front(List<InetSocketAddress> proxies) {
-        this.entries = java.util.stream.IntStream.range(0, proxies.size())
-                .mapToObj(i -> new Entry(i, proxies.get(i))).toList();
+        this.entries = proxies.stream().map(Entry::new).toList();
     }
 
     /** Whether clients are sent to a proxy from now on. */
@@ -56,10 +49,6 @@
         e.hurt = on;
     }
 
-    int size() {
-        return entries.size();
-    }
-
     /** The next admitted proxy from a number on, other than one; null where there is none. */
     Entry next(int from, Entry except) {
         for (int i = 0; i < entries.size(); i++) {
