Read discovery's lists as JSON objects, not as lines, as they may come indented

The log says the cause: "a line is skipped: Unexpected end-of-input", once for each line of one list. Lines at fault: Watch.split and Watch.take, which end a list at every newline. Change: JsonValues finds an object's end where its braces close, in pieces of any size; a text that goes over the end of a line was cut off, so reading goes on with the next line; what is too long is passed over; one log line for a broken list. Measured: takesListsThatComeIndented fails without the change (not ready in 20 s) and passes with it; JsonValuesTest splits 300 random streams, compact and indented, in random pieces.

--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,10 +22,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -48,8 +45,8 @@
     /** Calls wait in turn and may do so for 3 s: asking again sooner would only make the queue longer. */
     private static final long ANSWER_WITHIN_MS = 7_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** A line longer than this is no list of backends. */
-    private static final int LONGEST_LINE = 1 << 22;
+    /** More bytes than this are no list of backends. */
+    private static final int LONGEST_LIST = 1 << 22;
 
     /** Hears what discovery says. */
     public interface Listener {
@@ -168,12 +165,14 @@
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
-    /** One answer of discovery: lines of JSON, or one whole list. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+    /** One answer of discovery: lists and changes as they come, or one whole list. */
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject>
+            implements JsonValues.Listener {
         private final boolean fetch;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final JsonValues values = new JsonValues(LONGEST_LIST, this);
         private boolean ok;
         private boolean heard;
+        private boolean skipping;
         boolean fetched;
 
         Watch(boolean fetch) {
@@ -200,44 +199,27 @@
                         new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
             }
             if (ok && message instanceof HttpContent content) {
-                split(content.content());
+                values.read(content.content());
                 if (message instanceof LastHttpContent) {
-                    take();
+                    if (values.pending()) {
+                        skipped("it is cut off by the end of the answer");
+                    }
                     ctx.close();
                 }
             }
         }
 
-        private void split(ByteBuf bytes) {
-            while (bytes.isReadable()) {
-                byte b = bytes.readByte();
-                if (b == '\n') {
-                    take();
-                } else if (line.size() < LONGEST_LINE) {
-                    line.write(b);
-                }
-            }
-        }
-
-        private void take() {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (text.isEmpty()) {
-                // A watch with nothing to tell says so by an empty line: the list held is up to date.
-                if (!heard && !fetch) {
-                    heard = true;
-                    listener.listed(new EndpointList(index, false, List.of()));
-                }
-                return;
-            }
+        @Override
+        public void object(String text) {
             EndpointList list;
             try {
                 list = EndpointList.of(JSON.std.mapFrom(text), source.zones(), source.models());
             } catch (IOException | IllegalArgumentException bad) {
-                log.line("discovery: a line is skipped: " + bad.getMessage().lines().findFirst().orElse(""));
+                skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
             heard = true;
+            skipping = false;
             index = list.index();
             whole = false;
             fetched = fetch;
@@ -245,6 +227,24 @@
             listener.listed(list);
         }
 
+        /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
+        @Override
+        public void emptyLine() {
+            if (!heard && !fetch) {
+                heard = true;
+                listener.listed(new EndpointList(index, false, List.of()));
+            }
+        }
+
+        /** Where one is broken in the middle, more of its lines may follow: one line in the log does. */
+        @Override
+        public void skipped(String why) {
+            if (!skipping) {
+                skipping = true;
+                log.line("discovery: a list is skipped: " + why);
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             log.line("discovery: " + cause);
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -470,6 +470,24 @@
         assertEquals("t", rig.call(Rig.get("b", "")).text());
     }
 
+    /** Lists and changes may come indented, on a watch as in an answer. */
+    @Test
+    void takesListsThatComeIndented() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer other = rig.backend((connection, request) -> connection.answer("200 OK", "t"));
+        rig.indented().start(up("s", backend));
+        assertEquals("s", rig.call(Rig.get("a", "")).text());
+        rig.lines.add(Rig.list(12, false, Rig.entry("s", backend.address(), "DELETED"), up("t", other)));
+        rig.lines.add(Rig.END_OF_WATCH);
+        rig.lines.add(Rig.FORGOTTEN);
+        rig.lines.add(Rig.list(40, true, up("t", other)));
+        assertTrue(rig.discovery().next().start().contains("from=7"));
+        assertTrue(rig.discovery().next().start().contains("from=12"));
+        assertEquals("GET /v1/endpoints HTTP/1.1", rig.discovery().next().start());
+        assertTrue(rig.discovery().next().start().contains("from=40"));
+        assertEquals("t", rig.call(Rig.get("b", "")).text());
+    }
+
     @Test
     void fetchesTheWholeListWhereTheVersionIsForgotten() throws Exception {
         ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -33,6 +33,7 @@
     private int aimUs = 9_000_000;
     private int sockets = 256;
     private String control;
+    private boolean indented;
     private ProxyServer proxy;
     private ProxyServer.Module module = passhatch.Logic::new;
 
@@ -45,7 +46,7 @@
         this.folder = folder;
         this.discovery = new ScriptedServer((connection, request) -> {
             if (!request.start().contains("watch=1")) {
-                connection.answer("200 OK", lines.take());
+                connection.answer("200 OK", laidOut(lines.take()));
                 return;
             }
             if (FORGOTTEN.equals(lines.peek())) {
@@ -55,7 +56,7 @@
             }
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             for (String line = lines.take(); !line.equals(END_OF_WATCH); line = lines.take()) {
-                String text = line + "\n";
+                String text = laidOut(line) + "\n";
                 connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
             }
             connection.reset();
@@ -63,6 +64,17 @@
         open.add(discovery);
     }
 
+    /** Has lists come over several lines each. */
+    Rig indented() {
+        indented = true;
+        return this;
+    }
+
+    private String laidOut(String line) throws IOException {
+        return indented && line.startsWith("{")
+                ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(JSON.std.mapFrom(line)) : line;
+    }
+
     Rig limit(String name, Object value) {
         limits.put(name, value);
         return this;
--- /dev/null
+++ b/src/test/java/passhatch/proxy/discovery/JsonValuesTest.java
@@ -0,0 +1,101 @@
+package passhatch.proxy.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Objects are found whatever their layout, however their bytes arrive, and after what is no JSON. */
+final class JsonValuesTest implements JsonValues.Listener {
+
+    private static final int LONGEST = 400;
+
+    private final List<String> heard = new ArrayList<>();
+    private JsonValues values = new JsonValues(LONGEST, this);
+
+    @Override
+    public void object(String text) {
+        heard.add(text);
+    }
+
+    @Override
+    public void emptyLine() {
+        heard.add("empty");
+    }
+
+    @Override
+    public void skipped(String why) {
+        heard.add("skipped");
+    }
+
+    private List<String> read(String text) {
+        heard.clear();
+        values.read(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        return List.copyOf(heard);
+    }
+
+    /** Compact or indented, in pieces of any size, with texts full of what looks like structure. */
+    @Test
+    void findsEachObjectInAnyLayoutAndInAnyPieces() throws Exception {
+        Random random = new Random(11);
+        for (int round = 0; round < 300; round++) {
+            values = new JsonValues(LONGEST, this);
+            heard.clear();
+            List<Map<String, Object>> sent = new ArrayList<>();
+            StringBuilder wire = new StringBuilder();
+            for (int i = random.nextInt(4); i >= 0; i--) {
+                Map<String, Object> object = Map.of("index", random.nextInt(), "a{}\\\"[]", List.of(
+                        Map.of("name", "}]{[\\\"\n".repeat(random.nextInt(3))), Map.of()));
+                sent.add(object);
+                JSON json = random.nextBoolean() ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT) : JSON.std;
+                wire.append(json.asString(object)).append(random.nextBoolean() ? "\r\n" : "\n");
+            }
+            byte[] bytes = wire.toString().getBytes(StandardCharsets.UTF_8);
+            for (int at = 0; at < bytes.length;) {
+                int piece = Math.min(bytes.length - at, 1 + random.nextInt(random.nextBoolean() ? 3 : 200));
+                values.read(Unpooled.wrappedBuffer(bytes, at, piece));
+                at += piece;
+            }
+            assertFalse(values.pending());
+            List<Map<String, Object>> found = new ArrayList<>();
+            for (String text : heard) {
+                found.add(JSON.std.mapFrom(text));
+            }
+            assertEquals(sent, found, wire.toString());
+        }
+    }
+
+    @Test
+    void tellsEmptyLinesOnlyBetweenObjects() {
+        assertEquals(List.of("empty", "empty"), read("\n \r\n"));
+        assertEquals(List.of("{\n\n}"), read("{\n\n}\n"));
+        assertEquals(List.of("empty"), read("\n"));
+    }
+
+    @Test
+    void readsOnAfterWhatIsNoObjectAndAfterATextThatIsCutOff() {
+        assertEquals(List.of("skipped", "{}"), read("not json {\n{}\n"));
+        assertEquals(List.of("skipped", "{}"), read("{\"name\":\"a\n{}"));
+        assertEquals(List.of("empty"), read("\n\n"), "the rest of the line, and one that is empty");
+    }
+
+    @Test
+    void passesOverWhatIsTooLongAndHoldsNoMoreOfIt() {
+        assertEquals(List.of("skipped", "{}"), read("{\"a\":\"" + "x".repeat(3 * LONGEST) + "\"}\n{}\n"));
+        assertEquals(List.of("skipped", "{}"), read("[".repeat(3 * LONGEST) + "\n{}\n"));
+    }
+
+    @Test
+    void saysThatAnObjectIsNotWhole() {
+        read("{\"index\":4,");
+        assertTrue(values.pending());
+    }
+}
