Ask discovery again in time where a call gets no answer, and sooner after an outage

Lines at fault: ANSWER_WITHIN_MS of 7 s in Discovery, where what such a call misses counts as told after 6 s. Change: 3.5 s, which leaves time for one more call. Beside it, of the same reading: a pause between calls had grown to 3 s in an outage and an empty line did not take it back, and a connection tried while discovery was down was waited for 1 s, though what it has to tell at its return counts at once. Both are now 0.4 of the drain's grace in the settings, 50 to 400 ms; a new address begins with a short pause; a list that begins and does not end within 3 s is given up, though bytes go on coming.

--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -22,10 +22,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import passhatch.proxy.base.EventLog;
 
@@ -35,16 +35,25 @@
  */
 public final class Discovery {
 
-    private static final long FIRST_PAUSE_MS = 50;
-    private static final long LONGEST_PAUSE_MS = 2_000;
     /**
      * An empty line comes every 2 s, and what there is to tell counts as told after 6 s: a watch that is
      * silent for longer than one of these is given up while there is time to ask once more.
      */
     private static final long SILENCE_MS = 3_000;
-    /** Calls wait in turn and may do so for 3 s: asking again sooner would only make the queue longer. */
-    private static final long ANSWER_WITHIN_MS = 7_000;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /**
+     * A call may wait its turn for some seconds, and asking again sooner would only make the queue longer. But
+     * what a call misses that gets no answer at all counts as told after 6 s: until then there has to be time
+     * for one more.
+     */
+    private static final long ANSWER_WITHIN_MS = 3_500;
+    /**
+     * What discovery has to tell at its return from an outage counts as told at once, and from then on a
+     * server that drains may be sent something for the grace of the settings only. A pause and a connection
+     * that was tried while discovery was down, and so never comes up, take this part of it each.
+     */
+    private static final double PART_OF_GRACE = 0.4;
+    private static final long LONGEST_BLIND_MS = 400;
+    private static final long SHORTEST_BLIND_MS = 50;
     /** More bytes than this are no list of backends. */
     private static final int LONGEST_LIST = 1 << 22;
 
@@ -60,10 +69,10 @@
     private final EventLog log;
     private final Source source;
     private final Listener listener;
-    private final SplittableRandom random;
+    private final Pauses pauses;
+    private final long blindMs;
     private long index;
     private boolean whole;
-    private long pauseMs = FIRST_PAUSE_MS;
     private boolean stopped;
     private Channel channel;
     private InetSocketAddress address;
@@ -77,9 +86,10 @@
      * @param onRequest whether the module says when to ask again after a watch has ended
      * @param zones names of the zones, by position
      * @param models names of the machine kinds, by position
+     * @param drainGraceUs how long a server that drains may be sent something, in microseconds
      */
     public record Source(InetSocketAddress address, long index, boolean onRequest, List<String> zones,
-            List<String> models) { }
+            List<String> models, long drainGraceUs) { }
 
     /** A watch that has not begun; the seed is of the pauses between two. */
     public Discovery(EventLoop loop, EventLog log, Source source, long seed, Listener listener) {
@@ -88,7 +98,9 @@
         this.source = source;
         this.listener = listener;
         this.address = source.address();
-        this.random = new SplittableRandom(seed);
+        this.blindMs = Math.max(SHORTEST_BLIND_MS, Math.min(LONGEST_BLIND_MS,
+                (long) (TimeUnit.MICROSECONDS.toMillis(source.drainGraceUs()) * PART_OF_GRACE)));
+        this.pauses = new Pauses(blindMs, seed);
         this.index = source.index();
         this.whole = index == 0;
     }
@@ -96,6 +108,7 @@
     /** Goes on at another address; the watch at the old one is given up. */
     public void moveTo(InetSocketAddress to) {
         address = to;
+        pauses.reset();
         Channel old = channel;
         current = null;
         watch();
@@ -115,7 +128,7 @@
         current = watch;
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) blindMs)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -160,9 +173,7 @@
             listener.failed();
             return;
         }
-        // Watches of all proxies end together: they must not all come back in the same moment.
-        loop.schedule(this::watch, (long) (pauseMs * (0.5 + random.nextDouble())), TimeUnit.MILLISECONDS);
-        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+        loop.schedule(this::watch, pauses.next(), TimeUnit.MILLISECONDS);
     }
 
     /** One answer of discovery: lists and changes as they come, or one whole list. */
@@ -173,6 +184,7 @@
         private boolean ok;
         private boolean heard;
         private boolean skipping;
+        private Future<?> pending;
         boolean fetched;
 
         Watch(boolean fetch) {
@@ -200,6 +212,7 @@
             }
             if (ok && message instanceof HttpContent content) {
                 values.read(content.content());
+                limitPending(ctx);
                 if (message instanceof LastHttpContent) {
                     if (values.pending()) {
                         skipped("it is cut off by the end of the answer");
@@ -209,6 +222,31 @@
             }
         }
 
+        /** A list that has begun and does not end is none, though bytes go on coming. */
+        private void limitPending(ChannelHandlerContext ctx) {
+            if (!values.pending()) {
+                stopPending();
+            } else if (pending == null) {
+                pending = loop.schedule(() -> {
+                    skipped("it did not end");
+                    ctx.close();
+                }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void stopPending() {
+            if (pending != null) {
+                pending.cancel(false);
+                pending = null;
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            stopPending();
+            ctx.fireChannelInactive();
+        }
+
         @Override
         public void object(String text) {
             EndpointList list;
@@ -218,18 +256,20 @@
                 skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
+            stopPending();
             heard = true;
             skipping = false;
             index = list.index();
             whole = false;
             fetched = fetch;
-            pauseMs = FIRST_PAUSE_MS;
+            pauses.reset();
             listener.listed(list);
         }
 
         /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
         @Override
         public void emptyLine() {
+            pauses.reset();
             if (!heard && !fetch) {
                 heard = true;
                 listener.listed(new EndpointList(index, false, List.of()));
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -470,6 +470,33 @@
         assertEquals("t", rig.call(Rig.get("b", "")).text());
     }
 
+    /** A call may fall silent before its answer begins: what it misses counts as told 6 s later. */
+    @Test
+    void asksAgainInTimeWhereACallGetsNoAnswerAtAll() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        rig.start(up("s", backend));
+        rig.discovery().next();
+        rig.lines.add(Rig.END_OF_WATCH);
+        rig.lines.add(Rig.UNANSWERED);
+        rig.discovery().next();
+        long silent = System.nanoTime();
+        rig.discovery().next();
+        long ms = (System.nanoTime() - silent) / 1_000_000;
+        assertTrue(ms > 2_500 && ms < 5_000, "asked again after " + ms + " ms");
+    }
+
+    /** One that begins and does not end is no list, whatever comes of it: it is asked for once more. */
+    @Test
+    void givesAListUpThatDoesNotEnd() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        rig.start(up("s", backend));
+        rig.discovery().next();
+        rig.lines.add("{\"index\":9,");
+        rig.awaitLog("a list is skipped: it did not end");
+        assertTrue(rig.discovery().next().start().contains("from=8"));
+        assertEquals("s", rig.call(Rig.get("a", "")).text(), "the last list stays");
+    }
+
     /** Lists and changes may come indented, on a watch as in an answer. */
     @Test
     void takesListsThatComeIndented() throws Exception {
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -41,6 +41,8 @@
     static final String END_OF_WATCH = "end";
     /** And to have the next watch turned down, as its version is no longer known. */
     static final String FORGOTTEN = "forgotten";
+    /** And to have the next watch get no answer at all. */
+    static final String UNANSWERED = "unanswered";
 
     Rig(Path folder) throws IOException {
         this.folder = folder;
@@ -49,6 +51,10 @@
                 connection.answer("200 OK", laidOut(lines.take()));
                 return;
             }
+            if (UNANSWERED.equals(lines.peek())) {
+                lines.take();
+                return;
+            }
             if (FORGOTTEN.equals(lines.peek())) {
                 lines.take();
                 connection.answer("410 Gone", "");
