Read on from a client while nothing more is wanted from it, so that its leaving is seen

Need: a request whose client has left while it waited must not be sent on 0.3 s later. Cause: that a client has left shows only by reading, and ClientConnection.regulate stopped reading at four requests of one connection and while a long body waits. Such requests were sent on whenever a server came free. Ruled out by a test each, as they pass without the change: one request waiting in the module, between two attempts, for a connection that comes up late (with attempts called off or not), and sixty clients at once; by FIN, reset and half-close. Change: ReadAhead holds what comes meanwhile, before it is decoded, up to 64 kB a connection and within the budget of all bytes held. A client that sent more than that before it left, or while the budget is used up, is still not seen to leave.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -32,7 +32,7 @@
 /** One client's connection. Answers leave in the order of the requests. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** Requests of one connection that may be unanswered before no more are read from it. */
+    /** Requests of one connection that may be unanswered before no more are taken from it. */
     private static final int MOST_PIPELINED = 4;
     /** A peer that connects, or begins a request, and has sent no head by then is let go: its due is 2 s. */
     private static final long HEAD_WITHIN_US = 2_500_000;
@@ -44,10 +44,11 @@
     private final ClientServer server;
     private final Channel channel;
     private final EventLoop loop;
+    private final ReadAhead reads;
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
     /** The request that is coming in now, from its head to its end. */
     private Turn receiving;
-    /** Where the body that is coming in goes to is full: nothing more is read. */
+    /** Where the body that is coming in goes to is full: nothing more of it is wanted. */
     private boolean bodyWaits;
     /** Ends the connection unless a whole request comes first; null while none is awaited. */
     private Future<?> patience;
@@ -66,6 +67,12 @@
         this.server = server;
         this.channel = channel;
         this.loop = loop;
+        this.reads = server.readAhead();
+    }
+
+    /** Its part of the pipeline, in front of the decoder. */
+    ChannelInboundHandlerAdapter reads() {
+        return reads;
     }
 
     /** Whether a request has begun to come in, and is not whole. */
@@ -204,9 +211,7 @@
     }
 
     private void regulate() {
-        if (channel.isActive()) {
-            channel.config().setAutoRead(turns.size() < MOST_PIPELINED && !bodyWaits);
-        }
+        reads.want(turns.size() < MOST_PIPELINED && !bodyWaits);
     }
 
     // ---- requests
--- a/src/main/java/passhatch/proxy/client/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -36,6 +36,9 @@
     /** A connection may be closed once it had no open request for this long. */
     private static final long IDLE_US = 2_000_000;
 
+    /** As much as is kept of a body: the rest of most that do not fit, or some hundred requests. */
+    private static final int READ_AHEAD = RequestBody.MOST_KEPT;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
@@ -89,8 +92,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         ClientConnection connection = new ClientConnection(ClientServer.this, channel, loop);
-                        channel.pipeline().addLast(connection.new Arrivals(), new RequestDecoder(),
-                                new HttpResponseEncoder(), connection);
+                        channel.pipeline().addLast(connection.reads(), connection.new Arrivals(),
+                                new RequestDecoder(), new HttpResponseEncoder(), connection);
                     }
                 }).bind(address).await();
         if (!bound.isSuccess()) {
@@ -165,6 +168,10 @@
         return clock.nowUs();
     }
 
+    ReadAhead readAhead() {
+        return new ReadAhead(budget, READ_AHEAD);
+    }
+
     /** The body that comes after a head. */
     RequestBody body(HttpRequest head, Relay.Source source) {
         long declared = head.decoderResult().isSuccess() ? HttpUtil.getContentLength(head, -1L) : -1;
--- a/src/main/java/passhatch/proxy/flow/ByteBudget.java
+++ b/src/main/java/passhatch/proxy/flow/ByteBudget.java
@@ -10,7 +10,8 @@
         this.most = most;
     }
 
-    void add(long bytes) {
+    /** Counts bytes that are held from now on, or with a negative figure no more. */
+    public void add(long bytes) {
         held += bytes;
     }
 
@@ -19,7 +20,7 @@
     }
 
     /** Whether nothing more should be read that something held stands before. */
-    boolean over() {
+    public boolean over() {
         return held > most;
     }
 
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ClientLeavesTest.java
@@ -0,0 +1,242 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import passhatch.Balancer;
+import passhatch.Logic;
+
+/**
+ * A request whose client has left while it waited is not sent on, wherever it waited and however the client
+ * left. Each test goes on once the module has heard of it, which is what forces the crossing: from then on a
+ * server is there for all that waits, and one more request shows that it is used.
+ */
+@Timeout(60)
+final class ClientLeavesTest {
+
+    /** Ways to leave. */
+    enum Leaving {
+        FIN {
+            @Override
+            void leave(Http client) throws IOException {
+                client.close();
+            }
+        },
+        RESET {
+            @Override
+            void leave(Http client) throws IOException {
+                client.reset();
+            }
+        },
+        HALF_CLOSE {
+            @Override
+            void leave(Http client) throws IOException {
+                client.socket.shutdownOutput();
+            }
+        };
+
+        abstract void leave(Http client) throws IOException;
+    }
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+    private ScriptedServer server;
+    /** Requests in the order in which the module heard of them, and of their clients' going. */
+    private final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> gone = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder).module((settings, seed, actions) -> overheard(new Logic(settings, seed,
+                actions)));
+        server = rig.backend((connection, request) -> connection.answer("200 OK", "served"));
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    private Balancer overheard(Balancer logic) {
+        return (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Balancer.class},
+                (self, method, args) -> {
+                    Object result;
+                    try {
+                        result = method.invoke(logic, args);
+                    } catch (InvocationTargetException thrown) {
+                        throw thrown.getCause();
+                    }
+                    if (method.getName().equals("request")) {
+                        asked.add(((Balancer.Request) args[1]).id());
+                    } else if (method.getName().equals("clientGone")) {
+                        gone.add((String) args[1]);
+                    }
+                    return result;
+                });
+    }
+
+    private static void await(BlockingQueue<String> heard, int many) throws InterruptedException {
+        for (int i = 0; i < many; i++) {
+            assertNotNull(heard.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS), i + " of " + many);
+        }
+    }
+
+    /** From now on there is a server for what waits; nothing goes to it but what a client still waits for. */
+    private void nothingOfThemIsSentOn() throws Exception {
+        rig.lines.add(Rig.list(9, false, Rig.entry("late", server.address(), "SERVING")));
+        assertEquals("served", rig.call(Rig.get("stays", "")).text());
+        assertEquals("stays", server.next().header("X-Request-Id"));
+        assertEquals(0, server.received.size());
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void whileItsRequestWaitsInTheModule(Leaving how) throws Exception {
+        rig.start();
+        Http client = rig.client();
+        client.write(Rig.get("left", ""));
+        await(asked, 1);
+        how.leave(client);
+        await(gone, 1);
+        nothingOfThemIsSentOn();
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void whileItsRequestWaitsBetweenTwoAttempts(Leaving how) throws Exception {
+        ScriptedServer full = rig.backend((connection, request) -> connection.write(
+                "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+        rig.start(Rig.entry("full", full.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(Rig.post("/move", "left", ""));
+        full.next();
+        how.leave(client);
+        await(gone, 1);
+        nothingOfThemIsSentOn();
+    }
+
+    /** More than are taken from one connection at a time, and more than that behind them. */
+    @ParameterizedTest
+    @EnumSource
+    void behindManyOnTheSameConnection(Leaving how) throws Exception {
+        rig.start();
+        Http client = rig.client();
+        for (int i = 0; i < 4; i++) {
+            client.write(Rig.get("left" + i, ""));
+            await(asked, 1);
+        }
+        client.write(Rig.get("left4", "").repeat(20));
+        how.leave(client);
+        await(gone, 4);
+        nothingOfThemIsSentOn();
+    }
+
+    /** A body that is longer than what is kept waits with it, the rest of it unread by the request. */
+    @ParameterizedTest
+    @EnumSource
+    void behindItsBody(Leaving how) throws Exception {
+        rig.start();
+        Http client = rig.client();
+        client.write("POST /buy/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: left\r\nIdempotency-Key: k\r\n"
+                + "Content-Length: 110000\r\n\r\n" + "x".repeat(110_000));
+        await(asked, 1);
+        how.leave(client);
+        await(gone, 1);
+        nothingOfThemIsSentOn();
+    }
+
+    /** Its connection to the server is not up yet; once it is, nothing is written on it. */
+    @ParameterizedTest
+    @EnumSource
+    void whileItsConnectionComesUp(Leaving how) throws Exception {
+        comesUpLate(true, how);
+    }
+
+    /** The same where attempts may not be called off. */
+    @ParameterizedTest
+    @EnumSource
+    void whileItsConnectionComesUpAndNothingIsCalledOff(Leaving how) throws Exception {
+        comesUpLate(false, how);
+    }
+
+    private void comesUpLate(boolean cancel, Leaving how) throws Exception {
+        try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress at = (InetSocketAddress) late.getLocalSocketAddress();
+            List<Socket> waiting = new ArrayList<>();
+            try {
+                // They fill the place where connections wait to be accepted.
+                waiting.add(new Socket(at.getAddress(), at.getPort()));
+                waiting.add(new Socket(at.getAddress(), at.getPort()));
+                rig.limit("cancel", cancel).start(Rig.entry("s", at, "SERVING"));
+                Http client = rig.client();
+                client.write(Rig.get("left", ""));
+                await(asked, 1);
+                how.leave(client);
+                await(gone, 1);
+                waiting.add(late.accept());
+                waiting.add(late.accept());
+                // Where it is not called off it comes up now, with the system's next try a second later.
+                if (!cancel) {
+                    Socket up = late.accept();
+                    waiting.add(up);
+                    up.setSoTimeout(300);
+                    assertFalse(hears(up), "the request was sent on");
+                }
+                nothingOfThemIsSentOn();
+            } finally {
+                for (Socket socket : waiting) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private static boolean hears(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() >= 0;
+        } catch (SocketTimeoutException silent) {
+            return false;
+        }
+    }
+
+    /** Many at once, each in its own way. */
+    @Test
+    void manyInABurst() throws Exception {
+        rig.start();
+        List<Http> clients = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Http client = rig.client();
+            client.write(Rig.get("left" + i, ""));
+            clients.add(client);
+        }
+        await(asked, clients.size());
+        for (int i = 0; i < clients.size(); i++) {
+            Leaving.values()[i % 3].leave(clients.get(i));
+        }
+        await(gone, clients.size());
+        nothingOfThemIsSentOn();
+    }
+}
