Ask discovery once at a start, also where the known list has the version 0

Ruled out, with each call and the bytes of each answer in the log: an answer read late (no byte of it came before it was taken), a list split wrongly, a watch gone silent, the time given to a call (the call was made at 3.06 s, answered whole at 5.53 s). Line at fault, as far as it is ours: `whole = index == 0` in Discovery. Change: the whole list is fetched first only where nothing is known at all. Measured: watchesAtOnceFromAKnownListWhoseVersionIsZero fails without the change.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -88,7 +88,7 @@
         this.holdUps = holdUps;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.discovery = new Discovery(loop, log, new Discovery.Source(config.discovery(),
-                config.known().index(), config.settings().watch(), config.zones(), config.models(),
+                config.known(), config.settings().watch(), config.zones(), config.models(),
                 config.settings().rules().drainGraceUs()),
                 config.seed(), this);
         this.balancer = module.create(config.settings(), config.seed(), this);
--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -82,13 +82,13 @@
     /**
      * What there is to watch.
      *
-     * @param index of the list that is known already; 0 where none is
+     * @param known the list that is known already; empty where none is
      * @param onRequest whether the module says when to ask again after a watch has ended
      * @param zones names of the zones, by position
      * @param models names of the machine kinds, by position
      * @param drainGraceUs how long a server that drains may be sent something, in microseconds
      */
-    public record Source(InetSocketAddress address, long index, boolean onRequest, List<String> zones,
+    public record Source(InetSocketAddress address, EndpointList known, boolean onRequest, List<String> zones,
             List<String> models, long drainGraceUs) { }
 
     /** A watch that has not begun; the seed is of the pauses between two. */
@@ -101,8 +101,9 @@
         this.blindMs = Math.max(SHORTEST_BLIND_MS, Math.min(LONGEST_BLIND_MS,
                 (long) (TimeUnit.MICROSECONDS.toMillis(source.drainGraceUs()) * PART_OF_GRACE)));
         this.pauses = new Pauses(blindMs, seed);
-        this.index = source.index();
-        this.whole = index == 0;
+        this.index = source.known().index();
+        // A list may well have the version 0: a watch from there is one call, a list and a watch are two.
+        this.whole = index == 0 && source.known().endpoints().isEmpty();
     }
 
     /** Goes on at another address; the watch at the old one is given up. */
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -497,6 +497,24 @@
         assertEquals("s", rig.call(Rig.get("a", "")).text(), "the last list stays");
     }
 
+    /** A start asks discovery once, not twice, as all calls of all proxies wait there in one line. */
+    @Test
+    void watchesAtOnceFromAKnownListWhoseVersionIsZero() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        rig.known(Rig.list(0, true, up("s", backend))).start(up("s", backend));
+        assertEquals("GET /v1/endpoints?watch=1&from=0 HTTP/1.1", rig.discovery().next().start());
+        assertEquals("s", rig.call(Rig.get("a", "")).text());
+    }
+
+    /** With nothing known, not even a version, the whole list comes first. */
+    @Test
+    void fetchesTheWholeListWhereNothingIsKnown() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        rig.known(Rig.list(0, true)).start(up("s", backend));
+        assertEquals("GET /v1/endpoints HTTP/1.1", rig.discovery().next().start());
+        assertEquals("GET /v1/endpoints?watch=1&from=8 HTTP/1.1", rig.discovery().next().start());
+    }
+
     /** Lists and changes may come indented, on a watch as in an answer. */
     @Test
     void takesListsThatComeIndented() throws Exception {
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -34,6 +34,7 @@
     private int sockets = 256;
     private String control;
     private boolean indented;
+    private String known = list(7, true);
     private ProxyServer proxy;
     private ProxyServer.Module module = passhatch.Logic::new;
 
@@ -132,11 +133,17 @@
                 + String.join(",", entries) + "]}";
     }
 
-    /** The environment of a proxy whose known list is empty, with its configuration written. */
+    /** The list as the proxy last had it; else an empty one of index 7. */
+    Rig known(String list) {
+        known = list;
+        return this;
+    }
+
+    /** The environment of a proxy, with its configuration written. */
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
         Map<String, Object> config = new HashMap<>(Map.of("seed", "00000000000000ff",
-                "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(list(7, true)), "settings",
+                "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(known), "settings",
                 Map.of("categories", List.of(kind("board", "pure"), kind("buy", "token"),
                         kind("move", "side_effect")),
                         "tenants", List.of(Map.of("name", "acme", "quotaPerS", 0)), "dcs", List.of("a"),
