Break off an answer that goes on as it comes and of which nothing comes any more

Cause, by reading: Incoming.begin takes the call's clock off, and nothing else ended an answer whose backend neither sends nor closes: Relay's own watch only after 30 s. Until then its request, its connection and the end of the process waited. Change: of an answer that is being read from, something has to come within 5 s, else its connection is closed and the client sees that it is not whole. One that is not read from, as its client is slow, is not counted; slow backends pause for a second or two.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -59,6 +59,11 @@
      * for elsewhere, as spoilt answers often tell a length that is not theirs.
      */
     private static final long HOLD_MS = 200;
+    /**
+     * An answer that goes on as it comes, and of which nothing has come for so long though it was read from,
+     * never ends: it is broken off, so that its client sees it. Slow peers pause for a second or two.
+     */
+    private static final long STALL_MS = 5_000;
 
     /**
      * How a call ended.
@@ -456,6 +461,9 @@
         private final long length;
         private final HeldBytes held = new HeldBytes(budget);
         private final Future<?> hold;
+        private Future<?> stall;
+        /** It is read from, and something has come since the last look. */
+        private boolean moved;
         private Relay relay;
         private long size;
         private boolean begun;
@@ -485,6 +493,7 @@
         }
 
         void take(HttpContent content) {
+            moved = true;
             size += content.content().readableBytes();
             malformed |= content.decoderResult().isFailure() || size > RequestBody.MOST;
             if (!single || malformed) {
@@ -510,6 +519,7 @@
                 begun = true;
                 connection.channel.config().setAutoRead(false);
                 call.stopClock();
+                watchStall();
                 call.listener.begun(this);
             } else {
                 connection.letGo();
@@ -517,6 +527,19 @@
             }
         }
 
+        /** Of one that is not read from, as its client is slow, nothing can come. */
+        private void watchStall() {
+            stall = loop.schedule(() -> {
+                if (moved || !connection.channel.config().isAutoRead()) {
+                    moved = false;
+                    watchStall();
+                } else {
+                    log.line("an answer from " + connection.address + " does not end");
+                    connection.channel.close();
+                }
+            }, STALL_MS, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public long length() {
             return length;
@@ -546,7 +569,7 @@
 
         /** All that came with it has been read. */
         void finish(boolean surplus) {
-            stopHold();
+            stopTimers();
             byte[] body = begun ? null : held.take();
             if (malformed || surplus && !begun) {
                 drop();
@@ -561,7 +584,7 @@
 
         /** It will not be whole. */
         void drop() {
-            stopHold();
+            stopTimers();
             held.drop();
             if (relay != null) {
                 relay.stop();
@@ -569,10 +592,13 @@
             }
         }
 
-        private void stopHold() {
+        private void stopTimers() {
             if (hold != null) {
                 hold.cancel(false);
             }
+            if (stall != null) {
+                stall.cancel(false);
+            }
         }
     }
 
--- a/src/test/java/passhatch/proxy/BodiesTest.java
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -253,6 +253,18 @@
         assertEquals(1, rig.figure("backend_calls"));
     }
 
+    /** The backend neither ends it nor its connection: its client is told all the same, and nothing stays held. */
+    @Test
+    void anAnswerThatNeverEndsIsBrokenOff() throws Exception {
+        with((connection, request) -> connection.write(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n"));
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        assertThrows(EOFException.class, client::read);
+        rig.awaitFigure("failure{tier=\"board\"}", 1);
+        assertEquals(0, rig.figure("inflight"));
+    }
+
     /** A length that is not its own makes a short answer look long; nothing of it has been passed on yet. */
     @Test
     void anAnswerThatBreaksOffEarlyIsAskedForElsewhere() throws Exception {
