Handle signals before the first connection is accepted, and do not listen after an order to end

Cause, by reading: ProxyServer.serve listened first and set up SIGHUP and the hook for SIGTERM after: a signal between the two ended the process with what it had taken. And ClientServer.stopListening does nothing while there is no listener, so one that came up after the order to end stayed open for the rest of the process, and took connections that nobody answers. Change: create, then handlers, then listen; a listener that comes up after the order is closed at once. A start that cannot listen still ends with status 2, as the hook then returns. Measured: listensNoMoreWhereTheOrderToEndCameBefore and endsWithItsStatusWhereItCannotListen pass; the first forces the crossing. The window between two lines of serve cannot be forced from outside and has no test of its own.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -75,6 +75,8 @@
     /** Not where the traffic of an older process would come all at once. */
     private boolean warm;
     private InetSocketAddress address;
+    /** It could not listen, so there is nothing to end in an orderly way. */
+    private volatile boolean failed;
 
     private ProxyServer(ProxyConfig config, EventLog log) {
         this.log = log;
@@ -90,44 +92,65 @@
     public static int serve(Map<String, String> env, PrintStream err) throws InterruptedException {
         ProxyServer server;
         try {
-            server = start(ProxyConfig.read(env), new EventLog(err), Logic::new);
+            ProxyConfig config = ProxyConfig.read(env);
+            server = create(config, new EventLog(err), Logic::new);
+            // A signal may come in the moment in which the first connection is accepted.
+            HangUp.handle(() -> server.reload(env));
+            Runtime.getRuntime().addShutdownHook(new Thread(server::endInOrder));
+            server.listen(config);
         } catch (ProxyConfig.BadConfig bad) {
             err.println("passhatch: " + bad.getMessage());
             return 2;
         }
-        HangUp.handle(() -> server.reload(env));
-        CountDownLatch ended = server.ended;
-        // The JVM ends as soon as its hooks have returned, with the status of the signal: so this hook stays
-        // until all is answered, and then ends the process itself.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            server.shutDown();
-            try {
-                ended.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Runtime.getRuntime().halt(0);
-        }));
-        ended.await();
+        server.ended.await();
         return 0;
     }
 
+    /**
+     * The JVM ends as soon as its hooks have returned, with the status of the signal: so this one stays until
+     * all is answered, and then ends the process itself.
+     */
+    private void endInOrder() {
+        if (failed) {
+            return;
+        }
+        shutDown();
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
     /** Starts a proxy and returns once it listens. */
     static ProxyServer start(ProxyConfig config, EventLog log, Module module)
             throws ProxyConfig.BadConfig, InterruptedException {
+        ProxyServer server = create(config, log, module);
+        server.listen(config);
+        return server;
+    }
+
+    /** A proxy that asks discovery already, and can be told to end, but does not listen yet. */
+    static ProxyServer create(ProxyConfig config, EventLog log, Module module)
+            throws InterruptedException {
         ProxyServer server = new ProxyServer(config, log);
         server.loop.submit(() -> server.build(config, module)).sync();
+        return server;
+    }
+
+    void listen(ProxyConfig config) throws ProxyConfig.BadConfig, InterruptedException {
         try {
-            server.address = server.clients.listen(config.listen());
-            log.line("listening on " + server.address);
+            address = clients.listen(config.listen());
+            log.line("listening on " + address);
             if (config.control() != null) {
-                server.control.listen(config.control());
+                control.listen(config.control());
             }
         } catch (IOException e) {
-            server.end();
+            failed = true;
+            end();
             throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + e.getMessage());
         }
-        return server;
     }
 
     private void build(ProxyConfig config, Module module) {
@@ -240,6 +263,11 @@
         loop.execute(() -> proxy.discoveryMoved(discovery));
     }
 
+    /** Waits until its loop has done all that it was given so far. */
+    void awaitIdle() throws InterruptedException {
+        loop.submit(() -> { }).sync();
+    }
+
     /** Waits until it has shut down. */
     boolean awaitEnd(long ms) throws InterruptedException {
         return ended.await(ms, TimeUnit.MILLISECONDS);
--- a/src/main/java/passhatch/proxy/client/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -55,6 +55,7 @@
     private long sayAgainUs = Long.MIN_VALUE;
     private Channel listener;
     private boolean unready;
+    private boolean stopped;
     private boolean draining;
     private boolean sharing;
     private long answers;
@@ -99,8 +100,17 @@
         if (!bound.isSuccess()) {
             throw new IOException(bound.cause().getMessage());
         }
-        listener = bound.channel();
-        return (InetSocketAddress) listener.localAddress();
+        InetSocketAddress at = (InetSocketAddress) bound.channel().localAddress();
+        loop.submit(() -> listensAt(bound.channel())).sync();
+        return at;
+    }
+
+    /** The order to end may have come before. */
+    private void listensAt(Channel channel) {
+        listener = channel;
+        if (stopped) {
+            listener.close();
+        }
     }
 
     /** Whether requests should come here: the list is known, and connections are taken. */
@@ -131,6 +141,7 @@
 
     /** Takes no more connections; those open are served on. The order to end may come before it listens. */
     public void stopListening() {
+        stopped = true;
         if (listener != null) {
             listener.close();
         }
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -10,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import passhatch.proxy.Http.Message;
+import passhatch.proxy.base.EventLog;
 
 /** Signals, to a process of its own. */
 @Timeout(60)
@@ -162,6 +165,35 @@
         return serve(rig, address, Map.of("PROXY_CONTROL", "127.0.0.1:" + control.getPort()));
     }
 
+    /** The order to end comes when all is set up, and nothing is listened for yet. */
+    @Test
+    void listensNoMoreWhereTheOrderToEndCameBefore() throws Exception {
+        try (Rig rig = new Rig(folder).control()) {
+            ProxyConfig config = ProxyConfig.read(rig.environment());
+            ProxyServer server = ProxyServer.create(config, new EventLog(System.err), passhatch.Logic::new);
+            // The process that started this one stands for a newer one that serves.
+            Files.writeString(folder.resolve("passhatch.pid"),
+                    String.valueOf(ProcessHandle.current().parent().orElseThrow().pid()));
+            server.shutDown();
+            server.awaitIdle();
+            server.listen(config);
+            awaitNotListening(server.address());
+            assertFalse(server.awaitEnd(0), "it stopped to listen by its end only");
+            assertTrue(server.awaitEnd(Http.PATIENCE_MS));
+        }
+    }
+
+    /** A start that fails says so by its status, also with all handlers in place. */
+    @Test
+    void endsWithItsStatusWhereItCannotListen() throws Exception {
+        try (Rig rig = new Rig(folder);
+                ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Process process = serve(rig, (InetSocketAddress) taken.getLocalSocketAddress());
+            assertTrue(process.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(2, process.exitValue());
+        }
+    }
+
     /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
     @Test
     void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
