Answer all requests taken on a connection before its client is sent away

Cause, by reading: ClientConnection.keeps said "Connection: close" for the first answer after sendAway (or where descriptors are crowded, or a newer process serves), and closeAfter then closed: requests already taken behind it on the same connection were abandoned, which is a loss. Change: an answer keeps the connection while more requests have come on it; the last one sends the client away. Measured: answersAllThatWereTakenOnAConnectionBeforeItsClientIsSentAway: three requests held at a backend, one connection, SIGTERM's path; with the change all three are answered and only the last says close.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -386,8 +386,13 @@
         }
     }
 
+    /**
+     * Whether the connection stays after this answer. It does as well where more requests have come on it, as
+     * they were taken: the last of them has its client sent away.
+     */
     private boolean keeps(Turn turn) {
-        return turn.keepAlive && server.keepsClient();
+        boolean kept = server.keepsClient();
+        return turn.keepAlive && (kept || turns.stream().anyMatch(t -> t != turn));
     }
 
     private void write(Answer answer, Turn turn) {
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -194,6 +194,46 @@
         }
     }
 
+    /** None of those taken on one connection may be lost as an answer sends its client away. */
+    @Test
+    void answersAllThatWereTakenOnAConnectionBeforeItsClientIsSentAway() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer backend = rig.backend((connection, request) -> {
+                if (request.header("X-Request-Id").startsWith("held")) {
+                    release.await();
+                }
+                connection.answer("200 OK", request.header("X-Request-Id"));
+            });
+            rig.limit("connectTimeoutUs", 2_000_000).start(Rig.entry("s", backend.address(), "SERVING"),
+                    Rig.entry("t", backend.address(), "SERVING"), Rig.entry("u", backend.address(), "SERVING"));
+            Http open = rig.client();
+            open.write(Rig.get("before", ""));
+            assertEquals("before", open.read().text());
+            Http many = rig.client();
+            for (int i = 0; i < 3; i++) {
+                many.write(Rig.get("held" + i, ""));
+            }
+            for (int i = 0; i < 4; i++) {
+                backend.next();
+            }
+            rig.proxy().shutDown();
+            String connection = null;
+            for (int i = 0; connection == null; i++) {
+                open.write(Rig.get("r" + i, ""));
+                connection = open.read().header("Connection");
+            }
+            release.countDown();
+            for (int i = 0; i < 3; i++) {
+                Message answer = many.read();
+                assertEquals("held" + i, answer.text());
+                assertEquals(i == 2 ? "close" : null, answer.header("Connection"));
+            }
+            assertNull(many.read());
+            assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+        }
+    }
+
     /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
     @Test
     void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
