Keep the configuration where a file of only `null` is read at a SIGHUP, and test half-written ones

Cause, by reading: JSON.mapFrom gives null for the text `null`, and ProxyConfig.readDiscovery then threw on the signal's thread. Change: that is a bad configuration like any other: one line in the log, all stays as it is. Measured: aConfigurationThatCannotBeReadAtAHangUpChangesNothing: empty, cut off, null, a list, a number, no address: one line each, discovery stays where it was.

--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -118,7 +118,11 @@
 
     private static Map<String, Object> file(String path) throws BadConfig {
         try {
-            return JSON.std.mapFrom(Files.readString(Path.of(path)));
+            Map<String, Object> file = JSON.std.mapFrom(Files.readString(Path.of(path)));
+            if (file == null) {
+                throw new BadConfig("PROXY_CONFIG: " + path + " holds no object");
+            }
+            return file;
         } catch (IOException | IllegalArgumentException bad) {
             throw new BadConfig("PROXY_CONFIG: " + path + " cannot be read: " + bad.getMessage());
         }
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import passhatch.proxy.Http.Message;
 import passhatch.proxy.base.EventLog;
 
@@ -234,6 +236,24 @@
         }
     }
 
+    /** One is sent while the file is only half written: what was configured before stays, and one line says so. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{\"discovery\":\"127.0.", "null", "[]", "{\"discovery\":7}",
+        "{\"discovery\":\"nowhere\"}"})
+    void aConfigurationThatCannotBeReadAtAHangUpChangesNothing(String written) throws Exception {
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            rig.discovery().next();
+            Files.writeString(folder.resolve("config.json"), written);
+            rig.proxy().reload(Map.of("PROXY_CONFIG", folder.resolve("config.json").toString()));
+            rig.awaitLog("the configuration stays as it is: ");
+            assertEquals("s", rig.call(Rig.get("a", "")).text());
+            rig.lines.add(Rig.END_OF_WATCH);
+            assertTrue(rig.discovery().next().start().contains("from=8"), "discovery is where it was");
+        }
+    }
+
     /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
     @Test
     void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
