Go on deciding after an Error in the decision module, and answer its request

Cause, by reading: ProxyLoop.tell caught RuntimeException only; an Error (a stack or a heap that overflows) left `deciding` set, and from then on nothing was told to the module any more: each request ended by its backstop. Change: it is caught as well, logged as a bug, and the request answered as failed. Measured: decidesOnAfterAnErrorInTheModule passes with the change.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -307,7 +307,8 @@
         for (Event event = events.poll(); event != null; event = events.poll()) {
             try {
                 event.tell().run();
-            } catch (RuntimeException bug) {
+            } catch (RuntimeException | Error bug) {
+                // Whatever it was, the events behind it are still to be told, and so are all later ones.
                 log.bug("in the decision module", bug);
                 if (event.about() != null && !event.about().answered) {
                     answer(event.about(), Answer.failed());
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -432,6 +432,23 @@
         }
     }
 
+    /** Whatever the module throws, its request is answered and later ones are decided on. */
+    @Test
+    void decidesOnAfterAnErrorInTheModule() throws Exception {
+        rig.module((settings, seed, actions) -> module((method, args) -> {
+            if (method.equals("request")) {
+                String id = ((Balancer.Request) args[1]).id();
+                if (id.equals("bad")) {
+                    throw new StackOverflowError("a bug");
+                }
+                actions.refuse(id, 0);
+            }
+        })).start();
+        assertEquals(502, rig.call(Rig.get("bad", "X-Deadline: 9000m\r\n")).status());
+        assertEquals(503, rig.call(Rig.get("good", "")).status());
+        rig.awaitLog("BUG in the decision module");
+    }
+
     /** The list changes between the send and the moment the connection is up. */
     @Test
     void nothingIsWrittenToABackendThatDrainsWhileConnecting() throws Exception {
