Write no repeat by key once the window is over in which its server would drop it

Cause, by reading: Logic.mayRepeat asks whether the window is over when it sends; the connection may come up after that (up to the connect time-out), and the repeat was then written. Change: ProxyLoop asks once more just before a message is written, as it does for servers that drain. The first attempt counts from when it had been written whole. It ends as not sent, and the module decides as for any other. Measured: aRepeatByKeyIsNotWrittenOnceItsServerWouldNoLongerDropIt fails without the change (the repeat is written) and passes.

--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -37,6 +37,8 @@
         final String server;
         /** When it was sent; where its body went out as it came, when that had all gone. */
         long sentAtUs;
+        /** When all of it had been written; 0 before. */
+        long writtenAtUs;
         /** Its answer is passed on as it comes. */
         boolean streams;
         BackendPool.Handle handle;
@@ -47,5 +49,10 @@
             this.server = server;
             this.sentAtUs = sentAtUs;
         }
+
+        /** Whether it was written whole, and nothing that came back proves that it did not run. */
+        boolean mayHaveRun() {
+            return writtenAtUs > 0 && (outcome == null || !outcome.provesNotRun);
+        }
     }
 }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -7,14 +7,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
+import passhatch.Balancer.Effect;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Request;
+import passhatch.Balancer.RequestClass;
 import passhatch.proxy.backend.BackendPool;
 import passhatch.proxy.backend.BackendPool.Outgoing;
 import passhatch.proxy.backend.BackendPool.Result;
@@ -64,6 +67,7 @@
     private final Discovery discovery;
     private final Balancer balancer;
     private final int maxAttempts;
+    private final List<RequestClass> classes;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final KnownBackends backends = new KnownBackends();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -87,6 +91,7 @@
         this.pool = pool;
         this.holdUps = holdUps;
         this.maxAttempts = config.settings().limits().maxAttempts();
+        this.classes = config.settings().classes();
         this.discovery = new Discovery(loop, log, new Discovery.Source(config.discovery(),
                 config.known(), config.settings().watch(), config.zones(), config.models(),
                 config.settings().rules().drainGraceUs()),
@@ -342,11 +347,13 @@
         }
         long untilUs = e.uploading ? now + e.request.budgetUs() : now + waitUs;
         attempt.handle = pool.send(backend, new Outgoing(() -> message(e, untilUs),
-                body.isLong() ? body : null, () -> !e.answered && isUp(server), waitUs, Outcome.TIMEOUT),
+                body.isLong() ? body : null,
+                () -> !e.answered && isUp(server) && mayStillRepeat(e), waitUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
                     public void written() {
                         log.trace("written", e.request.id(), attempt.number);
+                        attempt.writtenAtUs = clock.nowUs();
                         figures.backendCall();
                         if (body.isLong()) {
                             attempt.sentAtUs = clock.nowUs();
@@ -375,6 +382,16 @@
         return backends.isUp(server);
     }
 
+    /**
+     * And so is a repeat by a key that its server would no longer drop: the module asked for it in time, but
+     * its connection may have come up after that.
+     */
+    private boolean mayStillRepeat(Exchange e) {
+        RequestClass kind = classes.get(e.request.requestClass());
+        return kind.effect() != Effect.KEYED || e.attempts.stream().filter(Exchange.Attempt::mayHaveRun)
+                .allMatch(a -> clock.nowUs() - a.writtenAtUs < kind.dedupWindowUs());
+    }
+
     private HttpRequest message(Exchange e, long untilUs) {
         if (e.request.body().isLong()) {
             tell(e, () -> balancer.bodySpent(clock.nowUs(), e.request.id()));
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -9,6 +9,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -432,6 +436,44 @@
         }
     }
 
+    /** The module repeats in time; the connection comes up when the key is no longer remembered. */
+    @Test
+    void aRepeatByKeyIsNotWrittenOnceItsServerWouldNoLongerDropIt() throws Exception {
+        ScriptedServer first = rig.backend((connection, request) -> connection.reset());
+        BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+        try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress at = (InetSocketAddress) late.getLocalSocketAddress();
+            rig.windowUs(300_000).module((settings, seed, actions) -> module((method, args) -> {
+                if (method.equals("request")) {
+                    actions.send(((Balancer.Request) args[1]).id(), "first", 0);
+                } else if (method.equals("outcome")) {
+                    outcomes.add((Outcome) args[4]);
+                    if (args[4] == Outcome.RESET) {
+                        actions.send((String) args[1], "late", 0);
+                    } else {
+                        actions.fail((String) args[1]);
+                    }
+                }
+            })).start(up("first", first), Rig.entry("late", at, "SERVING"));
+            try (Socket a = new Socket(at.getAddress(), at.getPort());
+                    Socket b = new Socket(at.getAddress(), at.getPort());
+                    Http client = rig.client()) {
+                client.write(Rig.post("/buy/1", "r", "Idempotency-Key: k\r\n"));
+                assertEquals(Outcome.RESET, outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                assertTrue(a.isConnected() && b.isConnected());
+                // However late this is, it is after the window; with its queue full nothing comes up before.
+                Thread.sleep(400);
+                late.accept().close();
+                late.accept().close();
+                try (Socket repeat = late.accept()) {
+                    assertEquals(502, client.read().status());
+                    assertEquals(Outcome.NOT_SENT, outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                    assertEquals(0, repeat.getInputStream().available());
+                }
+            }
+        }
+    }
+
     /** Whatever the module throws, its request is answered and later ones are decided on. */
     @Test
     void decidesOnAfterAnErrorInTheModule() throws Exception {
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -31,6 +31,7 @@
     private final Path folder;
     private final ScriptedServer discovery;
     private int aimUs = 9_000_000;
+    private int windowUs = 9_000_000;
     private int sockets = 256;
     private String control;
     private boolean indented;
@@ -92,6 +93,12 @@
         return this;
     }
 
+    /** How long repeats by a key are dropped. */
+    Rig windowUs(int us) {
+        windowUs = us;
+        return this;
+    }
+
     Rig sockets(int most) {
         sockets = most;
         return this;
@@ -161,7 +168,7 @@
 
     private Map<String, Object> kind(String name, String effect) {
         return Map.of("name", name, "effect", effect, "goalTimeUs", aimUs, "deadlineUs", 10_000_000,
-                "worth", 1, "dedupWindowUs", 9_000_000, "group", "all");
+                "worth", 1, "dedupWindowUs", windowUs, "group", "all");
     }
 
     /** Writes the configuration anew, with discovery at another address. */
