Leave a repeat by key time to arrive before its window is over

Cause: a message is some milliseconds on its way, and a new connection's handshake comes before it; asked at the very end of the window it would arrive after. Change: 100 ms of the window are left for that. Measured: aRepeatByKeyIsNotWrittenOnceItsServerWouldNoLongerDropIt passes.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -55,6 +55,8 @@
      * each answer into the mean that it waits for.
      */
     private static final long PROBE_TIMEOUT_US = 50_000;
+    /** A message may be so long on its way, with the handshake of a new connection before it. */
+    private static final long ON_ITS_WAY_US = 100_000;
     /** A body that has not come whole by then never will: the slowest is sent at 64 kB a second. */
     private static final long LONGEST_UPLOAD_US = 600_000_000;
 
@@ -389,7 +391,7 @@
     private boolean mayStillRepeat(Exchange e) {
         RequestClass kind = classes.get(e.request.requestClass());
         return kind.effect() != Effect.KEYED || e.attempts.stream().filter(Exchange.Attempt::mayHaveRun)
-                .allMatch(a -> clock.nowUs() - a.writtenAtUs < kind.dedupWindowUs());
+                .allMatch(a -> clock.nowUs() - a.writtenAtUs < kind.dedupWindowUs() - ON_ITS_WAY_US);
     }
 
     private HttpRequest message(Exchange e, long untilUs) {
