Take only a backend's own end of the connection for the end of an answer without a length

Lines at fault: HttpObjectDecoder.decodeLast, which Netty calls for any end of a channel, a reset and our own close too, makes an answer without a length whole; BackendPool took that for a whole answer. Change: the channel to a backend allows half-closure, as only that tells the peer's FIN apart; AnswerDecoder lets nothing else make an answer whole, and a connection that ended so is not used again.

--- a/src/main/java/passhatch/proxy/backend/AnswerDecoder.java
+++ b/src/main/java/passhatch/proxy/backend/AnswerDecoder.java
@@ -2,12 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
  * Reads a backend's answers and tells where they are no proper HTTP though Netty's decoder lets them pass: a
- * header line without a colon is taken for a header without a value there, and bytes after the end of an
- * answer are taken for the start of the next.
+ * header line without a colon is taken for a header without a value there, bytes after the end of an answer
+ * are taken for the start of the next, and any end of the connection, a reset too, for the end of an answer
+ * without a length. The channel has to allow half-closure, as that tells its peer's own end from all others.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -21,6 +24,7 @@
     private boolean continued;
     private int lineLength;
     private boolean malformed;
+    private boolean peerEnded;
 
     /** A request has been written: what comes next is the head of its answer. */
     void expectAnswer() {
@@ -38,6 +42,25 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Whether the peer has ended its sending in an orderly way: nothing more can come. */
+    boolean peerEnded() {
+        return peerEnded;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+        peerEnded |= event instanceof ChannelInputShutdownEvent;
+        super.userEventTriggered(ctx, event);
+    }
+
+    /** What the connection's end makes whole: nothing, unless the peer has ended it. */
+    @Override
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (peerEnded) {
+            super.decodeLast(ctx, in, out);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         if (message instanceof ByteBuf bytes) {
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
@@ -136,6 +137,7 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
@@ -401,7 +403,7 @@
                 log.line("bytes from " + address + " that nothing asked for");
                 ctx.close();
             } else if (answered != null && given != null && given.complete()) {
-                boolean again = given.keepAlive() && answered.written && !surplus;
+                boolean again = given.keepAlive() && answered.written && !surplus && !decoder.peerEnded();
                 call = null;
                 answer = null;
                 if (again) {
@@ -424,6 +426,14 @@
             }
         }
 
+        /** The peer has ended its sending: what it answered was read before this, and nothing more comes. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                ctx.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             Deque<Connection> at = idle.get(address);
--- a/src/main/java/passhatch/proxy/flow/ByteBudget.java
+++ b/src/main/java/passhatch/proxy/flow/ByteBudget.java
@@ -24,7 +24,8 @@
         return held > most;
     }
 
-    long held() {
+    /** How many are held now. */
+    public long held() {
         return held;
     }
 }
--- a/src/test/java/passhatch/proxy/BodiesTest.java
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -253,11 +253,14 @@
         assertEquals(1, rig.figure("backend_calls"));
     }
 
-    /** The backend neither ends it nor its connection: its client is told all the same, and nothing stays held. */
-    @Test
-    void anAnswerThatNeverEndsIsBrokenOff() throws Exception {
-        with((connection, request) -> connection.write(
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n"));
+    /**
+     * The backend neither ends it nor its connection: its client is told all the same, and nothing stays held.
+     * That we end its connection then is no end of an answer without a length.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Transfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n", "\r\nbegun"})
+    void anAnswerThatNeverEndsIsBrokenOff(String begun) throws Exception {
+        with((connection, request) -> connection.write("HTTP/1.1 200 OK\r\n" + begun));
         Http client = rig.client();
         client.write(Rig.get("r", ""));
         assertThrows(EOFException.class, client::read);
@@ -265,6 +268,27 @@
         assertEquals(0, rig.figure("inflight"));
     }
 
+    /** Only its peer's own end of the connection ends an answer without a length. */
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsSeenToBeCutOff() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\n\r\nbegun");
+            seen.await();
+            connection.reset();
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r", ""));
+        StringBuilder start = new StringBuilder();
+        while (!start.toString().endsWith("begun\r\n")) {
+            start.append((char) client.socket.getInputStream().read());
+        }
+        seen.countDown();
+        assertEquals("", client.rest(), "the empty chunk that ends an answer");
+        rig.awaitFigure("failure{tier=\"board\"}", 1);
+        assertEquals(0, rig.figure("inflight"));
+    }
+
     /** A length that is not its own makes a short answer look long; nothing of it has been passed on yet. */
     @Test
     void anAnswerThatBreaksOffEarlyIsAskedForElsewhere() throws Exception {
--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -162,6 +163,41 @@
         }
     }
 
+    /** Without a length only the peer's own end of the connection is the end of an answer. */
+    @Test
+    void aResetEndsNoAnswer() throws Exception {
+        CountDownLatch read = new CountDownLatch(1);
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
+            read.await();
+            connection.reset();
+        })) {
+            send(backend.address(), true, LONG_US);
+            while (loop.submit(budget::held).get() == 0) {
+                Thread.onSpinWait();
+            }
+            read.countDown();
+            assertEquals(Outcome.RESET, result());
+        }
+    }
+
+    /** The answer without a length ends the connection, so the next call must not go out on it. */
+    @Test
+    void aConnectionThatEndedAnAnswerIsNotUsedAgain() throws Exception {
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
+            connection.socket.shutdownOutput();
+        })) {
+            loop.submit(() -> pool.send(backend.address(), outgoing(true, LONG_US), first -> {
+                results.add(first);
+                pool.send(backend.address(), outgoing(true, LONG_US), results::add);
+            })).get();
+            assertEquals(Outcome.OK, result());
+            assertEquals(Outcome.OK, result());
+            assertEquals(2, backend.connections.get());
+        }
+    }
+
     @Test
     void aRefusedConnectionCouldNotBeMade() throws Exception {
         InetSocketAddress nobody;
