Leave requests time to be answered at the order to end, however short the deadlines are

Cause, by reading: what is taken after SIGTERM is answered 0.3 s before SIGKILL may come, and clients are sent away after 0.5 s at the soonest. With a longest deadline under 0.1 s the first comes before the second (10 ms: 0.41 and 0.5 s): what was taken in between was given up in the moment in which it came. Change: the steps are worked out in EndPlan, which leaves the last request taken 0.1 s, or its deadline where that is shorter. At deadlines of 0.2 s and more nothing changes.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -29,20 +29,6 @@
 /** One real proxy, from its start to its end. */
 public final class ProxyServer {
 
-    /** New connections go on coming for up to 0.4 s after SIGTERM. */
-    private static final long ACCEPT_ON_MS = 500;
-    /** SIGKILL comes no sooner after SIGTERM than this beyond the longest deadline. */
-    private static final long KILL_SLACK_MS = 700;
-    /** The longest deadline that SIGKILL waits for. */
-    private static final long KILL_DEADLINE_MS = 3_000;
-    /** What is taken after SIGTERM is answered at least this long before SIGKILL may come. */
-    private static final long ANSWER_AHEAD_MS = 300;
-    /**
-     * And nothing is taken any more this long before it: the last requests need some time to be served.
-     * Until then open connections are served on, as the proxies that their clients would turn to may
-     * be down as well: in a rolling restart the one before may not be back yet.
-     */
-    private static final long LEAVE_AHEAD_MS = 1_200;
     private static final long SWEEP_MS = 250;
     /**
      * Where an older process serves, a new one takes its part of the new connections for this long before it
@@ -223,20 +209,19 @@
         loop.execute(() -> {
             boolean succeeded = succeeded();
             log.line("shutting down" + (succeeded ? ", a newer process serves" : ""));
-            long killMs = Math.min(longestDeadlineMs, KILL_DEADLINE_MS) + KILL_SLACK_MS;
-            long leaveMs = Math.max(ACCEPT_ON_MS, killMs - LEAVE_AHEAD_MS);
+            EndPlan plan = EndPlan.of(longestDeadlineMs);
             clients.unready();
-            proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(killMs - ANSWER_AHEAD_MS));
+            proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(plan.answerMs()));
             if (succeeded) {
                 clients.stopListening();
                 clients.sendAway();
             } else {
-                loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(clients::stopListening, plan.stopListeningMs(), TimeUnit.MILLISECONDS);
             }
             loop.schedule(() -> {
                 clients.sendAway();
                 endOnceDone();
-            }, leaveMs, TimeUnit.MILLISECONDS);
+            }, plan.leaveMs(), TimeUnit.MILLISECONDS);
         });
     }
 
