End a client's connection so that its last answer arrives, whatever comes in that moment

Cause, by reading: to close a socket in which bytes stand unread resets it, and the system then drops what it had not yet delivered of the last answer. So did each close after an answer (Connection: close, a request turned down, the end of the process) and each answer to an operator, whose connection also held small writes back. And a request read behind an answer that had said close, while that was still being written, was taken, sent on, and abandoned with the connection. Behind an answer that says close nothing is taken. Where room is scarce, connections that linger go first. The process ends once none lingers. The second address sends without delay. Ruled out: that the JDK's own close is enough (it ends the sending first, but closes in the loop's next turn).

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -227,8 +227,8 @@
 
     /** Ends when nothing is out any more; an answer that is long on its way may go on until SIGKILL. */
     private void endOnceDone() {
-        clients.closeIdle();
-        if (proxy.unanswered() == 0 && !clients.receiving()) {
+        clients.endIdle();
+        if (proxy.unanswered() == 0 && !clients.receiving() && !clients.ending()) {
             end();
         } else {
             loop.schedule(this::endOnceDone, DONE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -268,7 +268,6 @@
     private void end() {
         log.line("ending with " + proxy.unanswered() + " requests unanswered");
         proxy.stop();
-        clients.closeIdle();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
     }
 }
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import passhatch.proxy.base.LingeringClose;
 import passhatch.proxy.flow.AnswerStream;
 import passhatch.proxy.flow.Relay;
 import passhatch.proxy.flow.RequestBody;
@@ -58,10 +59,12 @@
     private long awaitedSinceUs;
     private long bodySinceUs;
     private long bodyBytes;
-    /** It sent what is no request: it is told so, and nothing more is taken from it. */
+    /** It sent what is no request, or is sent away: it is told so, and nothing more is taken from it. */
     private boolean leaving;
-    /** It is closed once all of a body that nobody waits for has come: else its answer might get lost. */
-    private boolean closesAfterBody;
+    /** An answer has told it that it is the last: no request behind it is taken. */
+    private boolean lastAnswered;
+    /** It is ended once all of a body that nobody waits for has come. */
+    private boolean endsAfterBody;
 
     ClientConnection(ClientServer server, Channel channel, EventLoop loop) {
         this.server = server;
@@ -89,10 +92,19 @@
         return idleSinceUs;
     }
 
+    /** Ends it where nothing is to arrive on it any more. */
     void close() {
         channel.close();
     }
 
+    /** Ends it so that its last answer arrives, whatever its client is sending; nothing more is taken. */
+    void end() {
+        leaving = true;
+        endPatience();
+        server.ending(this);
+        LingeringClose.begin(channel);
+    }
+
     /** A request on a connection, until its answer is written. */
     private static final class Turn implements RequestHandler.Responder {
         private final ClientConnection connection;
@@ -229,7 +241,7 @@
         if (leaving) {
             return;
         }
-        if (part instanceof HttpRequest head) {
+        if (part instanceof HttpRequest head && !lastAnswered) {
             begin(head);
         }
         if (part instanceof HttpContent content && receiving != null) {
@@ -323,8 +335,8 @@
         bodyWaits = false;
         endPatience();
         server.busy(this);
-        if (closesAfterBody) {
-            channel.close();
+        if (endsAfterBody) {
+            end();
         } else {
             restIfDone();
         }
@@ -392,7 +404,9 @@
      */
     private boolean keeps(Turn turn) {
         boolean kept = server.keepsClient();
-        return turn.keepAlive && (kept || turns.stream().anyMatch(t -> t != turn));
+        boolean keeps = turn.keepAlive && (kept || turns.stream().anyMatch(t -> t != turn));
+        lastAnswered |= !keeps;
+        return keeps;
     }
 
     private void write(Answer answer, Turn turn) {
@@ -409,7 +423,7 @@
         channel.writeAndFlush(response).addListener(done -> {
             traceOut(turn, done.isSuccess());
             if (!keep) {
-                closeAfter(turn);
+                endAfter(turn);
             }
         });
     }
@@ -420,11 +434,11 @@
         }
     }
 
-    private void closeAfter(Turn turn) {
+    private void endAfter(Turn turn) {
         if (receiving == turn) {
-            closesAfterBody = true;
+            endsAfterBody = true;
         } else {
-            channel.close();
+            end();
         }
     }
 
@@ -439,6 +453,7 @@
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
             keep = false;
+            lastAnswered = true;
         }
         if (!keep) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -454,7 +469,7 @@
                 if (kept) {
                     writeAnswers();
                 } else {
-                    closeAfter(turn);
+                    endAfter(turn);
                 }
             }
 
--- a/src/main/java/passhatch/proxy/client/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -51,6 +51,8 @@
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     /** Those that have never sent a whole request, the longest silent first. */
     private final Set<ClientConnection> strangers = new LinkedHashSet<>();
+    /** Those that were told to go and may not have seen it yet. */
+    private final Set<ClientConnection> ending = new LinkedHashSet<>();
     private int letGo;
     private long sayAgainUs = Long.MIN_VALUE;
     private Channel listener;
@@ -147,9 +149,14 @@
         }
     }
 
-    /** Closes the connections on which nothing is out, as clients expect between requests. */
-    public void closeIdle() {
-        unused().filter(c -> !c.started()).toList().forEach(ClientConnection::close);
+    /** Ends the connections on which nothing is out, as clients expect between requests. */
+    public void endIdle() {
+        unused().filter(c -> !c.started()).toList().forEach(ClientConnection::end);
+    }
+
+    /** Whether a connection is being ended and its client may not have seen it; it will not take long. */
+    public boolean ending() {
+        return !ending.isEmpty();
     }
 
     /** Whether a request has begun to come in on any connection, and is not whole. */
@@ -216,8 +223,15 @@
         idle.add(c);
     }
 
+    /** It was told to go. */
+    void ending(ClientConnection c) {
+        busy(c);
+        ending.add(c);
+    }
+
     void left(ClientConnection c) {
         busy(c);
+        ending.remove(c);
         descriptors.client(-1);
     }
 
@@ -232,11 +246,12 @@
             log.line(descriptors.clients() + " clients are connected, too many: " + letGo + " let go so far");
         }
         ClientConnection longestIdle = idle.isEmpty() ? null : idle.iterator().next();
-        ClientConnection goes = longestIdle != null
+        ClientConnection goes = !ending.isEmpty() ? ending.iterator().next() : longestIdle != null
                 && (strangers.size() <= 1 || longestIdle.idleSince() <= clock.nowUs() - IDLE_US) ? longestIdle
                 : strangers.size() > 1 ? strangers.iterator().next() : newcomer;
         // The news of its end comes in a later step of the loop; until then it must not be chosen again.
         busy(goes);
+        ending.remove(goes);
         goes.close();
     }
 
--- a/src/main/java/passhatch/proxy/control/Control.java
+++ b/src/main/java/passhatch/proxy/control/Control.java
@@ -3,12 +3,12 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
@@ -25,6 +25,7 @@
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.LingeringClose;
 
 /** The operators' side: one line to a connection, one answer, and the connection is closed. */
 public final class Control {
@@ -73,6 +74,8 @@
     public void listen(InetSocketAddress address) throws InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -103,6 +106,7 @@
 
     /** One caller. */
     private final class Caller extends SimpleChannelInboundHandler<String> {
+        private boolean answered;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -121,24 +125,32 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, String call) {
-            if (callers.remove(ctx.channel())) {
+            if (!answered) {
                 end(ctx, answer(call));
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof TooLongFrameException && callers.remove(ctx.channel())) {
+            if (cause instanceof TooLongFrameException && !answered) {
                 end(ctx, "error the line is too long\n");
             } else {
                 ctx.close();
             }
         }
 
-        /** Whatever else the caller has sent is not read. */
+        /** Whatever else the caller has sent, or still sends, does not keep the answer from it. */
         private void end(ChannelHandlerContext ctx, String answer) {
-            ctx.channel().config().setAutoRead(false);
-            ctx.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+            answered = true;
+            ctx.writeAndFlush(answer).addListener(written -> LingeringClose.begin(ctx.channel()));
+        }
+
+        /** A caller that ends its sending before it has asked will not ask. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent && !answered) {
+                ctx.close();
+            }
         }
     }
 }
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ClosesTest.java
@@ -0,0 +1,202 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.Balancer;
+
+/**
+ * Bytes that come in the very moment in which a connection is ended. What was answered before arrives, its
+ * client sees an end and no reset, and nothing of what came is sent on.
+ */
+@Timeout(60)
+final class ClosesTest {
+
+    private static final String CLOSE = "Connection: close\r\n";
+    /** As long as may be held whole; more than the system takes for a narrow client. */
+    private static final String LONG = "x".repeat(60_000);
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+    private final CountDownLatch served = new CountDownLatch(1);
+    private final List<String> asked = Collections.synchronizedList(new ArrayList<>());
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    /**
+     * The module has one request served and all others refused at once, of these one after this has run on
+     * the loop: what comes by then is not read yet.
+     */
+    private void answersAfter(String id, Runnable crossing) throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", LONG));
+        rig.module((settings, seed, actions) -> ProxyServerTest.module((method, args) -> {
+            if (method.equals("outcome")) {
+                served.countDown();
+            } else if (method.equals("request")) {
+                String of = ((Balancer.Request) args[1]).id();
+                asked.add(of);
+                if (of.equals("before")) {
+                    actions.send(of, "s", 0);
+                    return;
+                }
+                if (of.equals(id)) {
+                    crossing.run();
+                }
+                actions.refuse(of, 0);
+            }
+        })).start(Rig.entry("s", backend.address(), "SERVING"));
+    }
+
+    /** A client that was answered and has not read that: a reset would destroy it on its way. */
+    private Http clientWithAnAnswerOnItsWay() throws Exception {
+        Http client = Http.narrow(rig.proxy().address());
+        client.write(Rig.get("before", ""));
+        served.await();
+        return client;
+    }
+
+    /** Reads what is on its way, once all that the proxy did about its connection is done. */
+    private void readsOnlyNow(Http client) throws Exception {
+        for (int turns = 0; turns < 3; turns++) {
+            rig.proxy().awaitIdle();
+        }
+        assertEquals(LONG, client.read().text());
+    }
+
+    private static void write(Http client, String text) {
+        try {
+            client.write(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String more(String what) {
+        return switch (what) {
+            case "a request" -> Rig.get("behind", "");
+            case "half a head" -> "GET /board/7 HTTP/1.1\r\nX-Req";
+            default -> "x".repeat(60_000);
+        };
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a request", "half a head", "nonsense"})
+    void behindTheLastAnswer(String what) throws Exception {
+        BlockingQueue<Http> asks = new LinkedBlockingQueue<>();
+        CountDownLatch crossed = new CountDownLatch(1);
+        answersAfter("last", () -> {
+            write(asks.remove(), more(what));
+            crossed.countDown();
+        });
+        try (Http client = clientWithAnAnswerOnItsWay()) {
+            asks.add(client);
+            client.write(Rig.get("last", CLOSE));
+            crossed.await();
+            readsOnlyNow(client);
+            assertEquals(503, client.read().status());
+            assertNull(client.read());
+        }
+        assertEquals(List.of("before", "last"), asked);
+    }
+
+    /** The last answer is long on its way, as its client reads slowly; requests behind it are not taken. */
+    @Test
+    void whileTheLastAnswerIsWritten() throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n");
+            connection.write("x".repeat(8_000_000));
+        });
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.onHead(() -> {
+            client.write(Rig.get("behind", ""));
+            written.countDown();
+        });
+        client.write(Rig.get("last", CLOSE));
+        assertEquals(8_000_000, client.read().body().length);
+        assertEquals(0, written.getCount());
+        assertNull(client.read());
+        assertEquals(1, backend.received.size());
+    }
+
+    /** The request comes when the process that ends lets resting clients go, and is not read before. */
+    @Test
+    void onARestingConnectionAtTheEnd() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        rig.deadlineUs(200_000);
+        answersAfter("held", () -> {
+            held.countDown();
+            // Longer than a process with short deadlines serves on.
+            LockSupport.parkNanos(EndPlan.of(200).leaveMs() * 1_000_000 + 50_000_000);
+        });
+        try (Http resting = clientWithAnAnswerOnItsWay()) {
+            Http holds = rig.client();
+            rig.proxy().shutDown();
+            holds.write(Rig.get("held", ""));
+            held.await();
+            resting.write(Rig.get("crossing", ""));
+            assertEquals(503, holds.read().status());
+            readsOnlyNow(resting);
+            assertNull(resting.read());
+        }
+        assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+        assertEquals(List.of("before", "held"), asked);
+    }
+
+    /** A client that does not end its side is not waited for long. */
+    @Test
+    void aClientThatGoesOnSendingIsLetGo() throws Exception {
+        answersAfter("last", () -> { });
+        Http client = rig.client();
+        client.write(Rig.get("last", CLOSE));
+        assertEquals(503, client.read().status());
+        assertNull(client.read());
+        // Its side stays open; the rig fails where the proxy goes on holding the connection.
+        String left = rig.proxy().leftOver();
+        while (!left.isEmpty()) {
+            left = rig.proxy().leftOver();
+        }
+    }
+
+    /** What operators are told arrives though they have sent more than the one line. */
+    @Test
+    void behindAnOperatorsCall() throws Exception {
+        rig.control().safeClass("c".repeat(50_000)).start();
+        try (Http caller = Http.narrow(rig.proxy().controlAddress())) {
+            caller.write("vars\n" + "x".repeat(60_000));
+            for (int turns = 0; turns < 3; turns++) {
+                rig.proxy().awaitIdle();
+            }
+            String text = caller.rest();
+            assertTrue(text.endsWith("end\n"), () -> text.length() + " characters");
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/Http.java
+++ b/src/test/java/passhatch/proxy/Http.java
@@ -53,6 +53,14 @@
         return new Http(new Socket(address.getAddress(), address.getPort()));
     }
 
+    /** One whose system takes next to nothing for it, so that what it does not read waits at its peer. */
+    static Http narrow(InetSocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(1);
+        socket.connect(address);
+        return new Http(socket);
+    }
+
     public void write(String text) throws IOException {
         write(text.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -338,7 +338,7 @@
     }
 
     /** A decision module of the test's own. */
-    private static Balancer module(BiConsumer<String, Object[]> told) {
+    static Balancer module(BiConsumer<String, Object[]> told) {
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.class}, (self, method, args) -> {
                     told.accept(method.getName(), args);
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -33,6 +33,8 @@
     private int aimUs = 9_000_000;
     private int windowUs = 9_000_000;
     private int sockets = 256;
+    private int deadlineUs = 10_000_000;
+    private String safe = "board";
     private String control;
     private boolean indented;
     private String known = list(7, true);
@@ -100,6 +102,18 @@
     }
 
     Rig sockets(int most) {
+    /** Of every class. */
+    Rig deadlineUs(int us) {
+        deadlineUs = us;
+        return this;
+    }
+
+    /** The name of the class that is safe to repeat. */
+    Rig safeClass(String name) {
+        safe = name;
+        return this;
+    }
+
         sockets = most;
         return this;
     }
@@ -151,7 +165,7 @@
         Path file = folder.resolve("config.json");
         Map<String, Object> config = new HashMap<>(Map.of("seed", "00000000000000ff",
                 "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(known), "settings",
-                Map.of("categories", List.of(kind("board", "pure"), kind("buy", "token"),
+                Map.of("categories", List.of(kind(safe, "pure"), kind("buy", "token"),
                         kind("move", "side_effect")),
                         "tenants", List.of(Map.of("name", "acme", "quotaPerS", 0)), "dcs", List.of("a"),
                         "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
@@ -167,7 +181,7 @@
     }
 
     private Map<String, Object> kind(String name, String effect) {
-        return Map.of("name", name, "effect", effect, "goalTimeUs", aimUs, "deadlineUs", 10_000_000,
+        return Map.of("name", name, "effect", effect, "goalTimeUs", aimUs, "deadlineUs", deadlineUs,
                 "worth", 1, "dedupWindowUs", windowUs, "group", "all");
     }
 
