Use no kept connection on which something has just come, nor one that was answered a moment ago

Cause, by reading: the loop hears only in its next turn of what has come on a resting connection. A request that took it in this turn met its peer's end or reset, which counts as one that may have run; behind half a line its answer was malformed; and a second answer to the request before passed for its own. Change: BackendChannel.quiet reads one byte when a connection is taken, and one on which anything shows is closed; after an answer a connection rests for 20 ms before it is used again. One more may be opened for that where a server is asked again so soon. Measured: aConnectionOnWhichSomethingHasJustComeIsNotUsedAgain (loop held between the two) fails in three of four crossings without quiet, aSecondAnswerThatComesLateIsNotTakenForTheNextOnes without the rest; both pass with it.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -31,6 +31,8 @@
 public final class ProxyServer {
 
     private static final long SWEEP_MS = 250;
+    /** A second answer to one request comes some milliseconds after the first, where there is one. */
+    private static final long REST_US = 20_000;
     /**
      * Where an older process serves, a new one takes its part of the new connections for this long before it
      * says that it is ready: it is slow at first, and all of the traffic at once would pile up.
@@ -148,7 +150,7 @@
         }
         budget = new ByteBudget(config.memoryBytes() / BUDGET_PART);
         pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), descriptors);
+                config.settings().limits().keepaliveUs(), REST_US, descriptors);
         HoldUps holdUps = new HoldUps(clock.nowUs());
         beat(clock, holdUps);
         proxy = new ProxyLoop(loop, clock, log, config, pool, holdUps, module);
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -11,7 +11,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -27,6 +26,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -114,6 +114,7 @@
     private final EventLog log;
     private final ByteBudget budget;
     private final long idleUs;
+    private final long restUs;
     private final Descriptors descriptors;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
@@ -123,17 +124,21 @@
      *
      * @param budget of the bytes that it passes on
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
+     * @param restUs how long a connection rests after an answer before it is used again, in microseconds: a
+     *     second answer to the same request may follow some milliseconds later, and would pass for the answer
+     *     to the next
      * @param descriptors shared with the callers' side
      */
     public BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
-            long keepaliveUs, Descriptors descriptors) {
+            long keepaliveUs, long restUs, Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.budget = budget;
         this.idleUs = (long) (keepaliveUs * IDLE_PART);
+        this.restUs = restUs;
         this.descriptors = descriptors;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(BackendChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
@@ -190,11 +195,16 @@
     }
 
     private Connection takeIdle(InetSocketAddress address) {
-        Deque<Connection> at = idle.get(address);
-        while (at != null && !at.isEmpty()) {
-            Connection c = at.pollFirst();
-            if (c.channel.isActive() && c.idleSinceUs > clock.nowUs() - idleUs) {
-                return c;
+        long now = clock.nowUs();
+        Deque<Connection> at = idle.getOrDefault(address, new ArrayDeque<>(0));
+        for (Iterator<Connection> each = at.iterator(); each.hasNext();) {
+            Connection c = each.next();
+            if (c.restsUntilUs <= now) {
+                each.remove();
+                if (c.channel.isActive() && c.idleSinceUs > now - idleUs && c.channel.quiet()) {
+                    return c;
+                }
+                c.channel.close();
             }
             c.channel.close();
         }
@@ -218,7 +228,7 @@
                 channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
             }
         }).connect(address);
-        c.channel = connecting.channel();
+        c.channel = (BackendChannel) connecting.channel();
         // Runs in a later step of the loop even where the connection fails at once.
         connecting.addListener(done -> loop.execute(() -> {
             if (done.isSuccess()) {
@@ -303,9 +313,10 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress address;
         final AnswerDecoder decoder = new AnswerDecoder();
-        Channel channel;
+        BackendChannel channel;
         Call call;
         long idleSinceUs;
+        long restsUntilUs;
         /** The answer to the call, until all that came with it has been read. */
         private Incoming answer;
         /** What comes now belongs to an interim answer. */
@@ -323,7 +334,7 @@
                 broken();
             } else if (!toWrite.outgoing.wanted().getAsBoolean()) {
                 call = null;
-                keep();
+                keep(0);
                 toWrite.end(Result.without(Outcome.NOT_SENT));
             } else {
                 decoder.expectAnswer();
@@ -412,7 +423,7 @@
                 call = null;
                 answer = null;
                 if (again) {
-                    keep();
+                    keep(restUs);
                 } else {
                     ctx.close();
                 }
@@ -421,9 +432,10 @@
             ctx.fireChannelReadComplete();
         }
 
-        private void keep() {
+        private void keep(long rest) {
             channel.config().setAutoRead(true);
             idleSinceUs = clock.nowUs();
+            restsUntilUs = idleSinceUs + rest;
             Deque<Connection> at = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
             at.addFirst(this);
             if (at.size() > MOST_IDLE || idleUs <= 0) {
--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.backend.BackendPool.Handle;
 import passhatch.proxy.backend.BackendPool.Outgoing;
@@ -57,12 +58,12 @@
     void setUp() {
         // Room for two connections to backends.
         descriptors.limit(6);
-        pool = pool(10_000_000);
+        pool = pool(10_000_000, 0);
     }
 
-    private BackendPool pool(long keepaliveUs) {
+    private BackendPool pool(long keepaliveUs, long restUs) {
         return new BackendPool(loop, new Clock(), new EventLog(System.err), budget, 10_000_000,
-                keepaliveUs, descriptors);
+                keepaliveUs, restUs, descriptors);
     }
 
     @AfterEach
@@ -156,6 +157,97 @@
         }
     }
 
+    /** What is on its way to a resting connection when it is taken for the next call. */
+    enum Crossing {
+        END {
+            @Override
+            void happen(Http connection, ScriptedServer backend) throws Exception {
+                connection.close();
+                backend.awaitEnded();
+            }
+        },
+        RESET {
+            @Override
+            void happen(Http connection, ScriptedServer backend) throws Exception {
+                connection.reset();
+                // A socket that a thread reads from is closed by that thread.
+                backend.awaitEnded();
+            }
+        },
+        HALF_A_LINE {
+            @Override
+            void happen(Http connection, ScriptedServer backend) throws Exception {
+                connection.write("HTTP/1.1 2");
+            }
+        },
+        SECOND_ANSWER {
+            @Override
+            void happen(Http connection, ScriptedServer backend) throws Exception {
+                connection.answer("200 OK", "stray");
+            }
+        };
+
+        abstract void happen(Http connection, ScriptedServer backend) throws Exception;
+    }
+
+    /** The loop has not heard of it yet, as it takes the connection in the same turn. */
+    @ParameterizedTest
+    @EnumSource
+    void aConnectionOnWhichSomethingHasJustComeIsNotUsedAgain(Crossing crossing) throws Exception {
+        BlockingQueue<Http> first = new LinkedBlockingQueue<>();
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.answer("200 OK", "own");
+            first.add(connection);
+        })) {
+            assertEquals(Outcome.OK, call(backend.address()));
+            Http kept = first.take();
+            loop.submit(() -> {
+                crossing.happen(kept, backend);
+                return pool.send(backend.address(), outgoing(true, LONG_US), results::add);
+            }).get();
+            Result result = results.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertEquals(Outcome.OK, result.outcome());
+            assertEquals("own", new String(result.body(), StandardCharsets.UTF_8));
+            assertEquals(2, backend.connections.get());
+        }
+    }
+
+    /** It comes some milliseconds after the first, when the next call is out: on another connection. */
+    @Test
+    void aSecondAnswerThatComesLateIsNotTakenForTheNextOnes() throws Exception {
+        pool = pool(10_000_000, 60_000_000);
+        BlockingQueue<Http> first = new LinkedBlockingQueue<>();
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            if (first.isEmpty()) {
+                connection.answer("200 OK", "first");
+                first.add(connection);
+            } else {
+                first.peek().answer("200 OK", "first");
+                first.peek().socket.getInputStream().read();
+                connection.answer("200 OK", "next");
+            }
+        })) {
+            assertEquals(Outcome.OK, call(backend.address()));
+            send(backend.address(), true, LONG_US);
+            Result result = results.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertEquals("next", new String(result.body(), StandardCharsets.UTF_8));
+        }
+    }
+
+    /** Once it has rested it is used again, and one on which nothing was asked needs no rest. */
+    @Test
+    void aConnectionThatHasRestedIsUsedAgain() throws Exception {
+        pool = pool(10_000_000, 1_000);
+        try (ScriptedServer backend = ScriptedServer.saying("x")) {
+            int calls = 0;
+            do {
+                assertEquals(Outcome.OK, call(backend.address()));
+                calls++;
+            } while (backend.connections.get() == calls);
+            assertTrue(backend.connections.get() < calls);
+        }
+    }
+
     @Test
     void aBreakAfterTheRequestIsAReset() throws Exception {
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> connection.reset())) {
@@ -284,7 +376,7 @@
 
     @Test
     void closesIdleConnectionsBeforeTheBackendMay() throws Exception {
-        pool = pool(1_000);
+        pool = pool(1_000, 0);
         try (ScriptedServer backend = ScriptedServer.saying("x")) {
             assertEquals(Outcome.OK, call(backend.address()));
             Thread.sleep(1);
