Pass a long answer on whose start is here when its request's time ends

Cause, by reading: an answer over 64 KiB is held for up to 0.2 s, as it may be spoilt, and of such an answer the first bytes are timed. Where a deadline is shorter than that, or the start came late, the time-out gave up an answer that was in time. Change: where the length says that it is long, it goes on when the time ends. Of unknown length it may still be short and late, so it is given up as before.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -206,7 +206,6 @@
                 }
                 c.channel.close();
             }
-            c.channel.close();
         }
         return null;
     }
@@ -284,6 +283,9 @@
         }
 
         private void timeUp() {
+            if (connection != null && connection.goesOn()) {
+                return;
+            }
             // What was never written whole cannot run: the connection did not come up in time.
             giveUp(written ? outgoing.timeout() : Outcome.CONNECT_FAILED);
         }
@@ -352,6 +354,11 @@
             }
         }
 
+        /** A long answer whose start is here in time is passed on now, and its rest as it comes. */
+        boolean goesOn() {
+            return answer != null && answer.goesOn();
+        }
+
         /** The connection is given up, whatever it carries. */
         void letGo() {
             call = null;
@@ -554,6 +561,14 @@
             }
         }
 
+        /** Has it go on now if it is known to be long: of such the first bytes are timed, not the last. */
+        boolean goesOn() {
+            if (length > MOST_HELD) {
+                begin();
+            }
+            return begun;
+        }
+
         /** Of one that is not read from, as its client is slow, nothing can come. */
         private void watchStall() {
             stall = loop.schedule(() -> {
--- a/src/test/java/passhatch/proxy/BodiesTest.java
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -254,8 +254,8 @@
     }
 
     /**
-     * The backend neither ends it nor its connection: its client is told all the same, and nothing stays held.
-     * That we end its connection then is no end of an answer without a length.
+     * The backend neither ends it nor its connection: its client is told all the same, and nothing stays
+     * held. That we end its connection then is no end of an answer without a length.
      */
     @ParameterizedTest
     @ValueSource(strings = {"Transfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n", "\r\nbegun"})
@@ -289,6 +289,21 @@
         assertEquals(0, rig.figure("inflight"));
     }
 
+    /** Of one that is known to be long the first bytes are timed: they are here, though not for long. */
+    @Test
+    void aLongAnswerThatHasBegunInTimeGoesOn() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        with((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + "b".repeat(50_000));
+            seen.await();
+            connection.write("e".repeat(50_000));
+        });
+        Http client = rig.client();
+        client.onHead(seen::countDown);
+        client.write(Rig.get("r", "X-Deadline: 150m\r\n"));
+        assertEquals("b".repeat(50_000) + "e".repeat(50_000), client.read().text());
+    }
+
     /** A length that is not its own makes a short answer look long; nothing of it has been passed on yet. */
     @Test
     void anAnswerThatBreaksOffEarlyIsAskedForElsewhere() throws Exception {
