Skip changes of an older version than the list that is held

Change: such changes are skipped with a line in the log. A whole list is taken as it is: discovery may have lost its versions. Measured: changesOfAnOlderVersionUndoNothing fails without the change and passes with it.

--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -41,9 +41,9 @@
      */
     private static final long SILENCE_MS = 3_000;
     /**
-     * A call may wait its turn for some seconds, and asking again sooner would only make the queue longer. But
-     * what a call misses that gets no answer at all counts as told after 6 s: until then there has to be time
-     * for one more.
+     * A call may wait its turn for some seconds, and asking again sooner would only make the queue longer.
+     * But what a call misses that gets no answer at all counts as told after 6 s: until then there has to be
+     * time for one more.
      */
     private static final long ANSWER_WITHIN_MS = 3_500;
     /**
@@ -258,6 +258,11 @@
                 return;
             }
             stopPending();
+            if (!list.whole() && list.index() < index) {
+                // Versions only grow: what was said since would be undone, such as that a server drains.
+                skipped("its version " + list.index() + " is older than " + index);
+                return;
+            }
             heard = true;
             skipping = false;
             index = list.index();
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -530,6 +530,34 @@
     }
 
     /** A call may fall silent before its answer begins: what it misses counts as told 6 s later. */
+    /** What an older version says of a server was undone since: that it drains stays as it is. */
+    @Test
+    void changesOfAnOlderVersionUndoNothing() throws Exception {
+        ScriptedServer drains = rig.backend((connection, request) -> connection.answer("200 OK", "drains"));
+        ScriptedServer stays = rig.backend((connection, request) -> connection.answer("200 OK", "stays"));
+        rig.start(up("drains", drains));
+        rig.lines.add(Rig.list(12, false, up("stays", stays), Rig.entry("drains", drains.address(),
+                "DRAINING")));
+        rig.lines.add(Rig.list(11, false, up("drains", drains),
+                Rig.entry("stays", stays.address(), "DELETED")));
+        rig.awaitLog("a list is skipped: its version 11 is older than 12");
+        for (int i = 0; i < 4; i++) {
+            assertEquals("stays", rig.call(Rig.get("r" + i, "")).text());
+        }
+    }
+
+    /** The name of a class may be any text, and comes escaped where it may not stand in a path. */
+    @ParameterizedTest
+    @CsvSource({"a class/ä+%, /a%20class%2F%C3%A4%2B%25/7", "board, /%62oard", "b+c, /b+c/1"})
+    void takesAClassWhoseNameComesEscaped(String name, String path) throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.safeClass(name).start(up("s", backend));
+        assertEquals(200, rig.call("GET " + path + " HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n\r\n")
+                .status());
+        assertTrue(backend.next().start().contains(path), "the path goes on as it came");
+        assertEquals(404, rig.call("GET /%zz/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: s\r\n\r\n").status());
+    }
+
     @Test
     void asksAgainInTimeWhereACallGetsNoAnswerAtAll() throws Exception {
         ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
