Take a class whose name comes escaped in the path

Need: names come from settings alone. One that may not stand in a path as it is (a space, a slash, a letter beyond ASCII) comes escaped from any client, and was answered with 404, as the path was compared as it came. Change: what is no class's name as it is is read as RFC 3986 says; the path goes on to the server unchanged.

--- a/src/main/java/passhatch/proxy/client/RequestParser.java
+++ b/src/main/java/passhatch/proxy/client/RequestParser.java
@@ -6,6 +6,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -70,8 +72,7 @@
     private int requestClass(HttpRequest http) throws BadRequest {
         String path = new QueryStringDecoder(http.uri()).rawPath();
         int end = path.indexOf('/', 1);
-        int kind = path.startsWith("/") ? classNames.indexOf(path.substring(1, end < 0 ? path.length() : end))
-                : -1;
+        int kind = path.startsWith("/") ? named(path.substring(1, end < 0 ? path.length() : end)) : -1;
         if (kind < 0) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such path");
         }
@@ -84,6 +85,17 @@
         return kind;
     }
 
+    /** A name that may not stand in a path as it is comes escaped (RFC 3986, 2.1). */
+    private int named(String part) {
+        int plain = classNames.indexOf(part);
+        try {
+            return plain >= 0 ? plain : classNames.indexOf(
+                    URLDecoder.decode(part.replace("+", "%2B"), StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException malformed) {
+            return -1;
+        }
+    }
+
     private int tenant(String name) throws BadRequest {
         if (name == null || tenants.isEmpty()) {
             return 0;
