Read the configuration at one SIGHUP after the other, so that the last one counts

Cause, by reading: the JVM runs each SIGHUP on a thread of its own. One that had read the file before it was replaced could move discovery after one that read it later, and discovery stayed at an address that takes no connections. Change: ProxyServer.reload is done by one thread at a time; whoever comes later reads the file later. Measured: aHangUpThatReadsLateDoesNotUndoANewerOne holds the first by a pipe in the place of the file; it fails without the change and passes with it.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -258,8 +258,12 @@
         }
     }
 
-    /** Reads the configuration again; of what stands there only the address of discovery may change. */
-    void reload(Map<String, String> env) {
+    /**
+     * Reads the configuration again; of what stands there only the address of discovery may change. One at a
+     * time: each SIGHUP comes on a thread of its own, and one that has read the file before it changed must
+     * not have its say after one that read it later.
+     */
+    synchronized void reload(Map<String, String> env) {
         InetSocketAddress discovery;
         try {
             discovery = ProxyConfig.readDiscovery(env);
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -7,12 +7,14 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -185,6 +187,69 @@
         }
     }
 
+    /** What the process that started this one would leave if it were a newer one that serves. */
+    private void newerProcess(String file) throws IOException {
+        Files.writeString(folder.resolve(file),
+                String.valueOf(ProcessHandle.current().parent().orElseThrow().pid()));
+    }
+
+    /** A newer process that has come and is not ready takes nothing over: this one serves as if alone. */
+    @Test
+    void servesOnAtTheOrderToEndWhereTheNewerProcessIsNotReady() throws Exception {
+        try (Rig rig = new Rig(folder).control()) {
+            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            newerProcess("passhatch.pid");
+            Http open = rig.client();
+            rig.proxy().shutDown();
+            rig.proxy().awaitIdle();
+            open.write(Rig.get("open", ""));
+            Message answer = open.read();
+            assertEquals("s", answer.text());
+            assertNull(answer.header("Connection"), "it has nowhere to go yet");
+            assertEquals("s", rig.call(Rig.get("new", "")).text());
+        }
+    }
+
+    /** The first is held while it reads the file; it must not take discovery back to what it has read. */
+    @Test
+    void aHangUpThatReadsLateDoesNotUndoANewerOne() throws Exception {
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            ScriptedServer newer = rig.backend(ScriptedServer.SILENT);
+            ScriptedServer older = rig.backend(ScriptedServer.SILENT);
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            Path file = folder.resolve("config.json");
+            Path pipe = folder.resolve("pipe");
+            assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+            Files.move(pipe, file, StandardCopyOption.REPLACE_EXISTING);
+            Map<String, String> env = Map.of("PROXY_CONFIG", file.toString());
+            Thread first = new Thread(() -> rig.proxy().reload(env));
+            first.start();
+            Thread second = new Thread(() -> rig.proxy().reload(env));
+            // Opened only once the first reads.
+            try (OutputStream written = Files.newOutputStream(file)) {
+                Files.writeString(folder.resolve("new"), discoveryAt(newer));
+                Files.move(folder.resolve("new"), file, StandardCopyOption.REPLACE_EXISTING);
+                second.start();
+                while (second.getState() != Thread.State.BLOCKED && second.isAlive()) {
+                    Thread.onSpinWait();
+                }
+                written.write(discoveryAt(older).getBytes(StandardCharsets.UTF_8));
+            }
+            first.join();
+            second.join();
+            rig.proxy().awaitIdle();
+            String last = rig.log.toString(StandardCharsets.UTF_8).lines()
+                    .filter(line -> line.contains("discovery is at ")).reduce((a, b) -> b).orElse("");
+            assertTrue(last.contains(":" + newer.address().getPort() + " "), last);
+        }
+    }
+
+    private static String discoveryAt(ScriptedServer server) {
+        return "{\"discovery\":\"127.0.0.1:" + server.address().getPort() + "\"}";
+    }
+
     /** A start that fails says so by its status, also with all handlers in place. */
     @Test
     void endsWithItsStatusWhereItCannotListen() throws Exception {
