Leave all to a newer process only once it has said that it is ready

Cause, by reading: at SIGTERM a process stopped to listen and sent its clients away as soon as a newer one of its folder was alive. One that had come and was not ready (no list, still starting, about to fail) takes nothing, and their requests had nowhere to go. Change: a process leaves its number in passhatch.ready at its first yes; only where that is the newer one's is it left to.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -157,7 +157,7 @@
         clients = new ClientServer(loop, clock, log, new RequestParser(config.settings().classes(),
                 config.classes(), config.tenants()), proxy, budget,
                 descriptors, holdUps);
-        control = new Control(loop, log, () -> clients.ready() && warm, proxy::figures);
+        control = new Control(loop, log, this::ready, proxy::figures);
         shareDescriptors();
         warm = !twoRun();
         if (!warm) {
@@ -179,9 +179,19 @@
     private void sweep() {
         pool.closeStale();
         shareDescriptors();
+        ready();
         clients.share(succeeded());
     }
 
+    /** Whether this process is ready to serve; an older one may leave from its first yes on. */
+    private boolean ready() {
+        boolean ready = clients.ready() && warm;
+        if (ready && succession != null) {
+            succession.ready();
+        }
+        return ready;
+    }
+
     private boolean twoRun() {
         return succession != null && succession.twoRun();
     }
@@ -224,18 +234,19 @@
     }
 
     /**
-     * Ends in an orderly way, and everything taken is answered. Where a newer process serves, this one takes
-     * what waits at its listener and sends each client away with its answer. Else connections are accepted
-     * for a little longer, and those open are served until shortly before SIGKILL may come.
+     * Ends in an orderly way, and everything taken is answered. Where a newer process is ready, this one
+     * takes what waits at its listener and sends each client away with its answer. Else, and also where a
+     * newer one has come and is not ready, connections are accepted for a little longer, and those open are
+     * served until shortly before SIGKILL may come.
      */
     void shutDown() {
         loop.execute(() -> {
-            boolean succeeded = succeeded();
-            log.line("shutting down" + (succeeded ? ", a newer process serves" : ""));
+            boolean replaced = succession != null && succession.replaced();
+            log.line("shutting down" + (replaced ? ", a newer process serves" : ""));
             EndPlan plan = EndPlan.of(longestDeadlineMs);
             clients.unready();
             proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(plan.answerMs()));
-            if (succeeded) {
+            if (replaced) {
                 clients.stopListening();
                 clients.sendAway();
             } else {
--- a/src/test/java/passhatch/proxy/HandoverTest.java
+++ b/src/test/java/passhatch/proxy/HandoverTest.java
@@ -94,11 +94,15 @@
             Files.writeString(folder.resolve("passhatch.pid"), Long.toString(newer.pid()));
             assertTrue(own.twoRun());
             assertTrue(own.succeeded());
+            assertFalse(own.replaced(), "it has come, and is not ready");
+            Files.writeString(folder.resolve("passhatch.ready"), Long.toString(newer.pid()));
+            assertTrue(own.replaced());
         } finally {
             newer.destroyForcibly().waitFor();
         }
         assertFalse(own.twoRun());
         assertFalse(own.succeeded(), "a successor that failed to start takes nothing over");
+        assertFalse(own.replaced());
     }
 
     @Test
@@ -106,9 +110,14 @@
         Process older = new ProcessBuilder("sleep", "60").start();
         try {
             Files.writeString(folder.resolve("passhatch.pid"), Long.toString(older.pid()));
+            Files.writeString(folder.resolve("passhatch.ready"), Long.toString(older.pid()));
             Succession own = new Succession(folder, new EventLog(System.err));
             assertTrue(own.twoRun());
             assertFalse(own.succeeded());
+            own.ready();
+            assertFalse(own.replaced());
+            assertEquals(Long.toString(ProcessHandle.current().pid()),
+                    Files.readString(folder.resolve("passhatch.ready")));
         } finally {
             older.destroyForcibly().waitFor();
         }
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -176,8 +176,8 @@
             ProxyConfig config = ProxyConfig.read(rig.environment());
             ProxyServer server = ProxyServer.create(config, new EventLog(System.err), passhatch.Logic::new);
             // The process that started this one stands for a newer one that serves.
-            Files.writeString(folder.resolve("passhatch.pid"),
-                    String.valueOf(ProcessHandle.current().parent().orElseThrow().pid()));
+            newerProcess("passhatch.pid");
+            newerProcess("passhatch.ready");
             server.shutDown();
             server.awaitIdle();
             server.listen(config);
