Let an operator's answer linger though what follows the call is too long a line

Causes: what follows a call that was answered is too long a line, and the error of that closed the connection at once; and the test did not wait until the order to end had been taken, so the loop could be held before it. Change: a line that is too long behind an answer changes nothing; the test waits. No assertion is changed.

--- a/src/main/java/passhatch/proxy/control/Control.java
+++ b/src/main/java/passhatch/proxy/control/Control.java
@@ -132,10 +132,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof TooLongFrameException && !answered) {
-                end(ctx, "error the line is too long\n");
-            } else {
+            if (!(cause instanceof TooLongFrameException)) {
                 ctx.close();
+            } else if (!answered) {
+                end(ctx, "error the line is too long\n");
             }
         }
 
--- a/src/test/java/passhatch/proxy/ClosesTest.java
+++ b/src/test/java/passhatch/proxy/ClosesTest.java
@@ -160,6 +160,7 @@
         try (Http resting = clientWithAnAnswerOnItsWay()) {
             Http holds = rig.client();
             rig.proxy().shutDown();
+            rig.proxy().awaitIdle();
             holds.write(Rig.get("held", ""));
             held.await();
             resting.write(Rig.get("crossing", ""));
