Let the stand-in of a late second answer remember the first before it answers

Cause, in the test: the backend noted the first connection after it had answered there, and the next request could come before that. Change: it notes it first.

--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -219,8 +219,8 @@
         BlockingQueue<Http> first = new LinkedBlockingQueue<>();
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
             if (first.isEmpty()) {
-                connection.answer("200 OK", "first");
                 first.add(connection);
+                connection.answer("200 OK", "first");
             } else {
                 first.peek().answer("200 OK", "first");
                 first.peek().socket.getInputStream().read();
