Be ready by the list that was given where discovery does not answer for 6 s

Ruled out: the start itself (0.8 s with a list at once). Not shown: whether the shorter wait for an answer makes it more frequent. Cause: a process said that it is ready only once discovery had answered since its start, though it has a list from its configuration and serves by that whatever comes; in the line behind a hundred callers that may take over 10 s. Change: with a list that names servers it is ready 6 s after its start at the latest. One with no list still waits. Measured: isReadyByTheListItWasGivenWhereDiscoveryDoesNotAnswer fails without the change (not ready in 20 s) and passes with it.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -58,6 +58,12 @@
     private static final long PROBE_TIMEOUT_US = 50_000;
     /** A message may be so long on its way, with the handshake of a new connection before it. */
     private static final long ON_ITS_WAY_US = 100_000;
+    /**
+     * A process that was given a list at its start and gets no answer from discovery serves by that list
+     * after this: in an outage, or with too many callers after one, none that starts would be put to use
+     * else. What there is to tell counts as told by then.
+     */
+    private static final long KNOWN_SERVES_AFTER_US = 6_000_000;
     /** A body that has not come whole by then never will: the slowest is sent at 64 kB a second. */
     private static final long LONGEST_UPLOAD_US = 600_000_000;
 
@@ -76,6 +82,8 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean deciding;
     private boolean listed;
+    /** When requests should come here though no list has come in. */
+    private final long servesKnownAtUs;
     private int unanswered;
     /** Of these, requests whose bodies are still coming. */
     private int uploading;
@@ -101,15 +109,16 @@
                 config.seed(), this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
+        servesKnownAtUs = backends.listed() == 0 ? Long.MAX_VALUE : clock.nowUs() + KNOWN_SERVES_AFTER_US;
         if (!config.settings().watch()) {
             discovery.watch();
         }
     }
 
-    /** Whether a list of backends has come in since the start. */
+    /** Whether a list of backends has come in since the start, or the one given then has to do. */
     @Override
     public boolean ready() {
-        return listed;
+        return listed || clock.nowUs() >= servesKnownAtUs;
     }
 
     /** Has all that is taken from now on answered within this time. */
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -101,6 +101,23 @@
     }
 
     /** Where nothing has changed since the list that is remembered, a watch begins with an empty line. */
+    /** Discovery does not answer: a process that was given a list serves by that, though not at once. */
+    @Test
+    void isReadyByTheListItWasGivenWhereDiscoveryDoesNotAnswer() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "known"));
+        ProxyServer proxy = ProxyServer.start(ProxyConfig.read(rig.known(Rig.list(7, true,
+                up("s", backend))).environment()), new EventLog(System.err), passhatch.Logic::new);
+        try (Http client = Http.to(proxy.address())) {
+            client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+            assertEquals(503, client.read().status());
+            Rig.awaitReady(proxy.address());
+            client.write(Rig.get("r", ""));
+            assertEquals("known", client.read().text());
+        } finally {
+            proxy.stopNow();
+        }
+    }
+
     @Test
     void isReadyWhereNothingHasChanged() throws Exception {
         rig.lines.add("");
