Rest connections only where backends have sent what nothing asked for

Backends hold few, and other sites price them. Cause: calls that come one after another at few servers found the connection resting, and opened one more each. Change: connections rest only for a minute after a backend has sent a second answer or other bytes that nothing asked for. The first such answer of all is not guarded against if it comes late and its connection is in use by then.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -66,6 +66,9 @@
      */
     private static final long STALL_MS = 5_000;
 
+    /** Backends that sent what nothing asked for are taken to do so again for this long. */
+    private static final long STRAYS_LAST_US = 60_000_000;
+
     /**
      * How a call ended.
      *
@@ -115,6 +118,8 @@
     private final ByteBudget budget;
     private final long idleUs;
     private final long restUs;
+    /** Until then connections rest: it would cost more of them where no backend does such a thing. */
+    private long strayUntilUs = Long.MIN_VALUE;
     private final Descriptors descriptors;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
@@ -124,9 +129,9 @@
      *
      * @param budget of the bytes that it passes on
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
-     * @param restUs how long a connection rests after an answer before it is used again, in microseconds: a
-     *     second answer to the same request may follow some milliseconds later, and would pass for the answer
-     *     to the next
+     * @param restUs how long a connection rests after an answer before it is used again while backends send
+     *     what nothing asked for, in microseconds: a second answer to the same request may follow some
+     *     milliseconds later, and would pass for the answer to the next
      * @param descriptors shared with the callers' side
      */
     public BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
@@ -199,7 +204,7 @@
         Deque<Connection> at = idle.getOrDefault(address, new ArrayDeque<>(0));
         for (Iterator<Connection> each = at.iterator(); each.hasNext();) {
             Connection c = each.next();
-            if (c.restsUntilUs <= now) {
+            if (c.restsUntilUs <= now || strayUntilUs <= now) {
                 each.remove();
                 if (c.channel.isActive() && c.idleSinceUs > now - idleUs && c.channel.quiet()) {
                     return c;
@@ -210,6 +215,11 @@
         return null;
     }
 
+    private void strayed(InetSocketAddress from, String what) {
+        strayUntilUs = clock.nowUs() + STRAYS_LAST_US;
+        log.line(what + " from " + from + " that nothing asked for");
+    }
+
     /** Makes room for one to another backend. */
     private void closeLongestIdle() {
         idle.values().stream().filter(at -> !at.isEmpty()).map(Deque::peekLast)
@@ -404,7 +414,7 @@
                 return;
             }
             if (call == null) {
-                log.line("an answer from " + address + " that nothing asked for");
+                strayed(address, "an answer");
                 ctx.close();
             } else if (answer == null) {
                 answer = new Incoming(this, call, head);
@@ -423,9 +433,12 @@
             Call answered = call;
             Incoming given = answer;
             if (answered == null && surplus) {
-                log.line("bytes from " + address + " that nothing asked for");
+                strayed(address, "bytes");
                 ctx.close();
             } else if (answered != null && given != null && given.complete()) {
+                if (surplus || !given.single) {
+                    strayed(address, "more than an answer");
+                }
                 boolean again = given.keepAlive() && answered.written && !surplus && !decoder.peerEnded();
                 call = null;
                 answer = null;
