Say once which answers end by their connection, and look once for the newer process

Need, by a read of the change: whether only the connection's end can show an answer's end was worked out in three places of ClientConnection, and the note that an answer is the last was set in two; Succession.replaced read one file twice; BackendPool made an empty queue at each call to a server without kept connections; a constant of LingeringClose was public for nobody. Change: Turn.endsByClose, asked by keeps, begin and cutOff; one read; no queue. Behaviour is the same. Measured: mvn -B verify passes (3 min 35 s).

--- a/src/main/java/passhatch/proxy/Succession.java
+++ b/src/main/java/passhatch/proxy/Succession.java
@@ -61,7 +61,8 @@
 
     /** Whether the newer process has said that it is ready, so that this one may leave all to it. */
     boolean replaced() {
-        return named(file).isPresent() && named(file).equals(named(readyFile));
+        Optional<ProcessHandle> newer = named(file);
+        return newer.isPresent() && newer.equals(named(readyFile));
     }
 
     private void look() {
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -201,7 +201,10 @@
 
     private Connection takeIdle(InetSocketAddress address) {
         long now = clock.nowUs();
-        Deque<Connection> at = idle.getOrDefault(address, new ArrayDeque<>(0));
+        Deque<Connection> at = idle.get(address);
+        if (at == null) {
+            return null;
+        }
         for (Iterator<Connection> each = at.iterator(); each.hasNext();) {
             Connection c = each.next();
             if (c.restsUntilUs <= now || strayUntilUs <= now) {
--- a/src/main/java/passhatch/proxy/base/LingeringClose.java
+++ b/src/main/java/passhatch/proxy/base/LingeringClose.java
@@ -18,7 +18,7 @@
 public final class LingeringClose extends ChannelInboundHandlerAdapter {
 
     /** A peer that is still there has seen the end by then, over any distance. */
-    public static final long MOST_MS = 500;
+    private static final long MOST_MS = 500;
     /** More than this is not read from a peer that goes on sending. */
     private static final long MOST_BYTES = 1 << 20;
 
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -152,6 +152,11 @@
             }
         }
 
+        /** Whether only the connection's end can show where its answer ends. */
+        boolean endsByClose() {
+            return stream != null && stream.length() < 0 && !version.equals(HttpVersion.HTTP_1_1);
+        }
+
         boolean settled() {
             return answer != null || stream != null;
         }
@@ -407,7 +412,8 @@
      */
     private boolean keeps(Turn turn) {
         boolean kept = server.keepsClient();
-        boolean keeps = turn.keepAlive && (kept || turns.stream().anyMatch(t -> t != turn));
+        boolean keeps = turn.keepAlive && !turn.endsByClose()
+                && (kept || turns.stream().anyMatch(t -> t != turn));
         lastAnswered |= !keeps;
         return keeps;
     }
@@ -452,16 +458,12 @@
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         if (turn.stream.length() >= 0) {
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, turn.stream.length());
-        } else if (turn.version.equals(HttpVersion.HTTP_1_1)) {
+        } else if (!turn.endsByClose()) {
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
-            keep = false;
-            lastAnswered = true;
         }
         if (!keep) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        boolean kept = keep;
         channel.writeAndFlush(head);
         turn.stream.sendTo(channel, new Relay.Listener() {
             @Override
@@ -469,7 +471,7 @@
                 turn.streamed = true;
                 traceOut(turn, true);
                 turn.out.passed();
-                if (kept) {
+                if (keep) {
                     writeAnswers();
                 } else {
                     endAfter(turn);
@@ -485,7 +487,7 @@
 
     /** The client must see that an answer is not whole; where only its end would tell, by a reset. */
     private void cutOff(Turn turn) {
-        if (turn.stream.length() < 0 && !turn.version.equals(HttpVersion.HTTP_1_1)) {
+        if (turn.endsByClose()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         channel.close();
