Share what the tests of crossings repeat, and bound one of their waits

Need, by a read of the change: reading up to a text, a backend that answers twice, a client's leaving with what must follow, and some turns of the loop each stood two to four times; one test waited for an empty proxy without a bound but the class's.

--- a/src/test/java/passhatch/proxy/BodiesTest.java
+++ b/src/test/java/passhatch/proxy/BodiesTest.java
@@ -61,6 +61,14 @@
         return rig.start(Rig.entry("s", backend.address(), "SERVING"));
     }
 
+    /** Reads byte by byte, so that what follows is still there. */
+    private static void readUpTo(Http client, String end) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (!read.toString().endsWith(end)) {
+            read.append((char) client.socket.getInputStream().read());
+        }
+    }
+
     private static void answer(Http connection, byte[] body) throws IOException {
         connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
         connection.write(body);
@@ -279,10 +287,7 @@
         });
         Http client = rig.client();
         client.write(Rig.get("r", ""));
-        StringBuilder start = new StringBuilder();
-        while (!start.toString().endsWith("begun\r\n")) {
-            start.append((char) client.socket.getInputStream().read());
-        }
+        readUpTo(client, "begun\r\n");
         seen.countDown();
         assertEquals("", client.rest(), "the empty chunk that ends an answer");
         rig.awaitFigure("failure{tier=\"board\"}", 1);
@@ -367,10 +372,7 @@
         });
         Http client = rig.client();
         client.write(Rig.get("r", ""));
-        StringBuilder start = new StringBuilder();
-        while (!start.toString().endsWith("\r\na\r\n")) {
-            start.append((char) client.socket.getInputStream().read());
-        }
+        readUpTo(client, "\r\na\r\n");
         seen.countDown();
         byte[] rest = "1\r\nb\r\n0\r\n\r\n".getBytes(StandardCharsets.UTF_8);
         assertArrayEquals(rest, client.socket.getInputStream().readNBytes(rest.length));
--- a/src/test/java/passhatch/proxy/ClientLeavesTest.java
+++ b/src/test/java/passhatch/proxy/ClientLeavesTest.java
@@ -117,6 +117,12 @@
         assertEquals(0, server.received.size());
     }
 
+    private void leavesAndNothingIsSentOn(Http client, Leaving how, int requests) throws Exception {
+        how.leave(client);
+        await(gone, requests);
+        nothingOfThemIsSentOn();
+    }
+
     @ParameterizedTest
     @EnumSource
     void whileItsRequestWaitsInTheModule(Leaving how) throws Exception {
@@ -124,9 +130,7 @@
         Http client = rig.client();
         client.write(Rig.get("left", ""));
         await(asked, 1);
-        how.leave(client);
-        await(gone, 1);
-        nothingOfThemIsSentOn();
+        leavesAndNothingIsSentOn(client, how, 1);
     }
 
     @ParameterizedTest
@@ -138,9 +142,7 @@
         Http client = rig.client();
         client.write(Rig.post("/move", "left", ""));
         full.next();
-        how.leave(client);
-        await(gone, 1);
-        nothingOfThemIsSentOn();
+        leavesAndNothingIsSentOn(client, how, 1);
     }
 
     /** More than are taken from one connection at a time, and more than that behind them. */
@@ -154,9 +156,7 @@
             await(asked, 1);
         }
         client.write(Rig.get("left4", "").repeat(20));
-        how.leave(client);
-        await(gone, 4);
-        nothingOfThemIsSentOn();
+        leavesAndNothingIsSentOn(client, how, 4);
     }
 
     /** A body that is longer than what is kept waits with it, the rest of it unread by the request. */
@@ -168,9 +168,7 @@
         client.write("POST /buy/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: left\r\nIdempotency-Key: k\r\n"
                 + "Content-Length: 110000\r\n\r\n" + "x".repeat(110_000));
         await(asked, 1);
-        how.leave(client);
-        await(gone, 1);
-        nothingOfThemIsSentOn();
+        leavesAndNothingIsSentOn(client, how, 1);
     }
 
     /** Its connection to the server is not up yet; once it is, nothing is written on it. */
--- a/src/test/java/passhatch/proxy/ClosesTest.java
+++ b/src/test/java/passhatch/proxy/ClosesTest.java
@@ -82,11 +82,16 @@
         return client;
     }
 
-    /** Reads what is on its way, once all that the proxy did about its connection is done. */
-    private void readsOnlyNow(Http client) throws Exception {
+    /** A socket that was closed is given back to the system some turns of the loop later. */
+    private void awaitTurns() throws InterruptedException {
         for (int turns = 0; turns < 3; turns++) {
             rig.proxy().awaitIdle();
         }
+    }
+
+    /** Reads what is on its way, once all that the proxy did about its connection is done. */
+    private void readsOnlyNow(Http client) throws Exception {
+        awaitTurns();
         assertEquals(LONG, client.read().text());
     }
 
@@ -180,11 +185,7 @@
         client.write(Rig.get("last", CLOSE));
         assertEquals(503, client.read().status());
         assertNull(client.read());
-        // Its side stays open; the rig fails where the proxy goes on holding the connection.
-        String left = rig.proxy().leftOver();
-        while (!left.isEmpty()) {
-            left = rig.proxy().leftOver();
-        }
+        assertEquals("", rig.leftOver(), "its side stays open, and is not waited for");
     }
 
     /** What operators are told arrives though they have sent more than the one line. */
@@ -193,9 +194,7 @@
         rig.control().safeClass("c".repeat(50_000)).start();
         try (Http caller = Http.narrow(rig.proxy().controlAddress())) {
             caller.write("vars\n" + "x".repeat(60_000));
-            for (int turns = 0; turns < 3; turns++) {
-                rig.proxy().awaitIdle();
-            }
+            awaitTurns();
             String text = caller.rest();
             assertTrue(text.endsWith("end\n"), () -> text.length() + " characters");
         }
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -307,7 +307,8 @@
         }
     }
 
-    private String leftOver() {
+    /** What the proxy still holds after it had time to be done with all; empty where that is nothing. */
+    String leftOver() {
         long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
         String left = "";
         try {
--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -212,6 +212,11 @@
         }
     }
 
+    private static ScriptedServer answeringTwice() throws IOException {
+        return new ScriptedServer((connection, request) -> connection.write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2)));
+    }
+
     /**
      * It comes some milliseconds after the first, when the next call is out: on another connection, once
      * backends were seen to send what nothing asked for.
@@ -219,8 +224,7 @@
     @Test
     void aSecondAnswerThatComesLateIsNotTakenForTheNextOnes() throws Exception {
         pool = pool(10_000_000, 60_000_000);
-        try (ScriptedServer twice = new ScriptedServer((connection, request) -> connection.write(
-                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2)))) {
+        try (ScriptedServer twice = answeringTwice()) {
             assertEquals(Outcome.OK, call(twice.address()));
         }
         BlockingQueue<Http> first = new LinkedBlockingQueue<>();
@@ -257,8 +261,7 @@
     void aConnectionThatHasRestedIsUsedAgain() throws Exception {
         pool = pool(10_000_000, 1_000);
         try (ScriptedServer backend = ScriptedServer.saying("x");
-                ScriptedServer twice = new ScriptedServer((connection, request) -> connection.write(
-                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2)))) {
+                ScriptedServer twice = answeringTwice()) {
             assertEquals(Outcome.OK, call(twice.address()));
             int calls = 0;
             do {
