--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -3,47 +3,70 @@
 /** A server as this copy sees it. */
 final class Backend {
     final String id;
+
     /** Its place in the order that all copies keep the list in: that of hashed ids. */
     final int place;
+
     int zone;
     int group;
     int model;
     long startedAtUs;
+
     /** The latest list has it in use. */
     boolean up;
+
     /** It stands among the servers that calls may go to. */
     boolean listed;
+
     /** Told to drain: its idle connections are closed, and again at each outcome there. */
     boolean draining;
+
     /** Own attempts out, kept true while it drains or is off the list. */
     int inFlight;
+
     /**
-     * When it was last assigned, later by a part of a round for a slow server, earlier for a quick one.
-     * Below all times, in random order, while never used.
+     * When it was last assigned, later by a part of a round for a slow server, earlier for a quick
+     * one. Below all times, in random order, while never used.
      */
     long turnAtUs;
+
     int failures;
+
     /** When an outcome last showed that a connection stands. */
     long reachedUs = Long.MIN_VALUE;
+
     /** Share of errors among its latest answers, and rests for it with no recovery between. */
     double errors;
+
     int errorRests;
+
     /** Overdue attempts since its last answer. */
     int silences;
+
     /** Probes without an answer since the last one that had one. */
     int unanswered;
+
     /** Chosen only if all others are busy, until then. */
     long demotedUntilUs = Long.MIN_VALUE;
+
     /** Calls in flight by its own report, valid until {@link #reportUntilUs}. */
     int reported;
+
     long reportUntilUs = Long.MIN_VALUE;
-    /** Running sums of the time that calls took here and of the calls ahead; when they last changed. */
+
+    /**
+     * Running sums of the time that calls took here and of the calls ahead; when they last changed.
+     */
     double tookUs;
+
     double ahead;
     long callSeenUs = Long.MIN_VALUE;
+
     /** When the probe that is out was sent, or the least value. */
     long probedAtUs = Long.MIN_VALUE;
+
     long restUntilUs = Long.MIN_VALUE;
+
     /** A cold or newly listed server takes nothing before this time. */
     long entryAtUs = Long.MIN_VALUE;
 
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -4,12 +4,13 @@
 import java.util.Set;
 
 /**
- * The interface of the decision module: what it is told (the methods) and what it may do ({@link Actions}).
+ * The interface of the decision module: what it is told (the methods) and what it may do ({@link
+ * Actions}).
  *
- * <p>One instance serves one proxy. It keeps no clock: every call carries the time, in microseconds, of a
- * clock
- * that starts anywhere and never goes back. It is not safe for use by several threads at once. Actions may be
- * called only from within one of the methods here. All durations are in microseconds.
+ * <p>One instance serves one proxy. It keeps no clock: every call carries the time, in
+ * microseconds, of a clock that starts anywhere and never goes back. It is not safe for use by
+ * several threads at once. Actions may be called only from within one of the methods here. All
+ * durations are in microseconds.
  */
 public interface Balancer {
 
@@ -71,15 +72,21 @@
     }
 
     /**
-     * What a list of servers is: changes to the list held, the whole list, or the list from before a restart.
+     * What a list of servers is: changes to the list held, the whole list, or the list from before
+     * a restart.
      */
-    enum ListKind { CHANGES, WHOLE, REMEMBERED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        REMEMBERED
+    }
 
     /**
      * A class of requests. None of its figures has a default.
      *
      * @param name for people; it decides nothing
-     * @param aimUs an answer after this long is worth only {@code lateWorth} of the full worth; above 0
+     * @param aimUs an answer after this long is worth only {@code lateWorth} of the full worth;
+     *     above 0
      * @param deadlineUs how long a client waits over all its tries; at least {@code aimUs}
      * @param worth what one request is worth, per request or per unit of work; not negative
      * @param lateWorth the part of the worth left after the aim, 0 to 1
@@ -89,13 +96,39 @@
      * @param zones the only zones whose servers may get it, at any attempt; null where all may
      * @param models the only machine kinds that may get it, at any attempt; null where all may
      */
-    record RequestClass(String name, long aimUs, long deadlineUs, double worth, double lateWorth,
-            Effect effect, DedupGroup group, long dedupWindowUs, Set<Integer> zones, Set<Integer> models) {
+    record RequestClass(
+            String name,
+            long aimUs,
+            long deadlineUs,
+            double worth,
+            double lateWorth,
+            Effect effect,
+            DedupGroup group,
+            long dedupWindowUs,
+            Set<Integer> zones,
+            Set<Integer> models) {
 
         /** A class that any server may get. */
-        public RequestClass(String name, long aimUs, long deadlineUs, double worth, double lateWorth,
-                Effect effect, DedupGroup group, long dedupWindowUs) {
-            this(name, aimUs, deadlineUs, worth, lateWorth, effect, group, dedupWindowUs, null, null);
+        public RequestClass(
+                String name,
+                long aimUs,
+                long deadlineUs,
+                double worth,
+                double lateWorth,
+                Effect effect,
+                DedupGroup group,
+                long dedupWindowUs) {
+            this(
+                    name,
+                    aimUs,
+                    deadlineUs,
+                    worth,
+                    lateWorth,
+                    effect,
+                    group,
+                    dedupWindowUs,
+                    null,
+                    null);
         }
     }
 
@@ -103,9 +136,10 @@
      * A tenant.
      *
      * @param name for people; it decides nothing
-     * @param quotaPerSecond requests a second, over all proxies, that lie within its share; 0 where unlimited
+     * @param quotaPerSecond requests a second, over all proxies, that lie within its share; 0 where
+     *     unlimited
      */
-    record Tenant(String name, double quotaPerSecond) { }
+    record Tenant(String name, double quotaPerSecond) {}
 
     /**
      * What the deployment allows.
@@ -115,13 +149,23 @@
      * @param probes whether servers may be asked for their load
      * @param maxRetryAfterUs the longest advice that clients heed; 0 where they heed none
      * @param callsPerConnection calls that one connection carries at a time, at least 1
-     * @param keepaliveUs how long an idle connection is kept open; 0 where none is, or it is not known
+     * @param keepaliveUs how long an idle connection is kept open; 0 where none is, or it is not
+     *     known
      */
-    record Limits(int maxAttempts, boolean cancel, boolean probes, long maxRetryAfterUs,
-            int callsPerConnection, long keepaliveUs) {
+    record Limits(
+            int maxAttempts,
+            boolean cancel,
+            boolean probes,
+            long maxRetryAfterUs,
+            int callsPerConnection,
+            long keepaliveUs) {
 
         /** The limits where it is not known how long connections stay open. */
-        public Limits(int maxAttempts, boolean cancel, boolean probes, long maxRetryAfterUs,
+        public Limits(
+                int maxAttempts,
+                boolean cancel,
+                boolean probes,
+                long maxRetryAfterUs,
                 int callsPerConnection) {
             this(maxAttempts, cancel, probes, maxRetryAfterUs, callsPerConnection, 0);
         }
@@ -130,19 +174,33 @@
     /**
      * The figures of the rules on draining and on cold servers.
      *
-     * @param drainGraceUs how long after word that a server drains or is gone it may still be sent something
-     * @param askWithinUs longest time without asking discovery where it must be asked; 0 where it need not be
+     * @param drainGraceUs how long after word that a server drains or is gone it may still be sent
+     *     something
+     * @param askWithinUs longest time without asking discovery where it must be asked; 0 where it
+     *     need not be
      * @param coldFrom share of its capacity a server starts with, above 0, at most 1
      * @param coldUs how long a server stays cold at most
      * @param tipMultiple a cold server sent more than this multiple of what it can do falls over
      * @param overloadForUs for how long it must be sent that much to fall over
-     * @param closeWithinUs how long idle connections to a draining server may stay open; 0 where they may
+     * @param closeWithinUs how long idle connections to a draining server may stay open; 0 where
+     *     they may
      */
-    record Rules(long drainGraceUs, long askWithinUs, double coldFrom, long coldUs, double tipMultiple,
-            long overloadForUs, long closeWithinUs) {
+    record Rules(
+            long drainGraceUs,
+            long askWithinUs,
+            double coldFrom,
+            long coldUs,
+            double tipMultiple,
+            long overloadForUs,
+            long closeWithinUs) {
 
         /** The rules where connections to a draining server may stay open. */
-        public Rules(long drainGraceUs, long askWithinUs, double coldFrom, long coldUs, double tipMultiple,
+        public Rules(
+                long drainGraceUs,
+                long askWithinUs,
+                double coldFrom,
+                long coldUs,
+                double tipMultiple,
                 long overloadForUs) {
             this(drainGraceUs, askWithinUs, coldFrom, coldUs, tipMultiple, overloadForUs, 0);
         }
@@ -154,10 +212,11 @@
      * @param probe for one probe a request
      * @param crossZone for one attempt a request that crosses zones
      */
-    record Prices(double probe, double crossZone) { }
+    record Prices(double probe, double crossZone) {}
 
     /**
-     * What one instance is told at its start; {@link SettingsBuilder} names the figures and has defaults.
+     * What one instance is told at its start; {@link SettingsBuilder} names the figures and has
+     * defaults.
      *
      * @param classes the classes of requests, at least one; requests name them by position
      * @param tenants the tenants, by position; empty where there are none
@@ -173,21 +232,34 @@
      * @param overQuotaWorth part of the worth left for requests beyond a tenant's quota, 0 to 1
      * @param tickUs shortest time between two events of this instance
      */
-    record Settings(List<RequestClass> classes, List<Tenant> tenants, Limits limits, Rules rules,
-            Prices prices, int copies, int copy, int tier, int tiers, int zone, boolean watch,
-            double overQuotaWorth, long tickUs) { }
+    record Settings(
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            Limits limits,
+            Rules rules,
+            Prices prices,
+            int copies,
+            int copy,
+            int tier,
+            int tiers,
+            int zone,
+            boolean watch,
+            double overQuotaWorth,
+            long tickUs) {}
 
     /**
      * One line of a list of servers.
      *
-     * @param id the server's name, which tells nothing else and stays the same when its process restarts
+     * @param id the server's name, which tells nothing else and stays the same when its process
+     *     restarts
      * @param startedAtUs when its process last started; 0 for long ago
      * @param zone the zone it is in
      * @param status whether it may be sent new requests
      * @param group the cell it shares its memory of keys with
      * @param model its machine kind, which classes may be bound to
      */
-    record Server(String id, long startedAtUs, int zone, int group, ServerStatus status, int model) {
+    record Server(
+            String id, long startedAtUs, int zone, int group, ServerStatus status, int model) {
 
         /** A server of the only machine kind there is. */
         public Server(String id, long startedAtUs, int zone, int group, ServerStatus status) {
@@ -205,8 +277,13 @@
      * @param workUs expected work on a standard core; 0 where unknown
      * @param clientRetry true where the client says that it tries again
      */
-    record Request(String id, int requestClass, int tenant, long timeLeftUs, long workUs,
-            boolean clientRetry) { }
+    record Request(
+            String id,
+            int requestClass,
+            int tenant,
+            long timeLeftUs,
+            long workUs,
+            boolean clientRetry) {}
 
     /**
      * A server's own view of its load; -1 where it does not say.
@@ -215,14 +292,19 @@
      * @param queue requests of these that wait
      * @param utilisation the part of its capacity in use, 0 to 1
      */
-    record LoadReport(double inFlight, double queue, double utilisation) { }
+    record LoadReport(double inFlight, double queue, double utilisation) {}
 
     /** What the module may ask for. Ids are passed back as they came. */
     interface Actions {
-        /** Sends an attempt; a request's attempts are numbered from 0 in the order of these calls. */
+        /**
+         * Sends an attempt; a request's attempts are numbered from 0 in the order of these calls.
+         */
         void send(String request, String server, long timeoutUs);
 
-        /** Ends a request as refused: the client may safely try again, after this long if it listens. */
+        /**
+         * Ends a request as refused: the client may safely try again, after this long if it
+         * listens.
+         */
         void refuse(String request, long retryAfterUs);
 
         /** Ends a request as failed: nothing is promised. */
@@ -231,8 +313,11 @@
         /** Stops waiting for an attempt. */
         void cancel(String request, int attempt);
 
-        /** Closes the idle connections to a server; one that does nothing fits where none need be closed. */
-        default void closeIdle(String server) { }
+        /**
+         * Closes the idle connections to a server; one that does nothing fits where none need be
+         * closed.
+         */
+        default void closeIdle(String server) {}
 
         /** Asks a server for its load. */
         void probe(String server);
@@ -263,18 +348,26 @@
      * @param ended true where the request is over by this outcome or was before it
      * @param report the server's load, or null
      */
-    void outcome(long nowUs, String request, int attempt, String server, Outcome outcome, long elapsedUs,
-            boolean ended, LoadReport report);
+    void outcome(
+            long nowUs,
+            String request,
+            int attempt,
+            String server,
+            Outcome outcome,
+            long elapsedUs,
+            boolean ended,
+            LoadReport report);
 
     /**
-     * A streamed answer began: the attempt belongs to the client now, and no time-out runs on it. It is the
-     * request's final answer; its outcome tells whether all of it came.
+     * A streamed answer began: the attempt belongs to the client now, and no time-out runs on it.
+     * It is the request's final answer; its outcome tells whether all of it came.
      */
     void streamStarted(long nowUs, String request, int attempt, String server, long elapsedUs);
 
     /**
-     * The body of a request goes out to the server of its attempt as it comes from the client and is not
-     * kept: the request cannot be sent again. The server owes no answer before {@link #bodyWritten}.
+     * The body of a request goes out to the server of its attempt as it comes from the client and
+     * is not kept: the request cannot be sent again. The server owes no answer before {@link
+     * #bodyWritten}.
      */
     void bodySpent(long nowUs, String request);
 
@@ -290,6 +383,9 @@
     /** A time asked for by {@link Actions#wakeAt} has come. */
     void timer(long nowUs);
 
-    /** How many servers of the list held are avoided now: they drain, rest, or come only after all others. */
+    /**
+     * How many servers of the list held are avoided now: they drain, rest, or come only after all
+     * others.
+     */
     int hostsDown(long nowUs);
 }
--- a/src/main/java/passhatch/Call.java
+++ b/src/main/java/passhatch/Call.java
@@ -9,21 +9,32 @@
 final class Call {
     final Request request;
     final RequestClass kind;
+
     /** No answer later than this earns anything or is still listened to. */
     final long endAtUs;
+
     /** Its expected work, as a multiple of the usual; 1 where unknown. */
     final double size;
+
     /** When its client gives up. */
     final long deadlineUs;
+
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean ended;
+
     /** Its body went to a server and was not kept. */
     boolean spent;
+
     boolean beyondShare;
-    /** It had to wait for a server; those that did are sent only with a fair chance to be in time. */
+
+    /**
+     * It had to wait for a server; those that did are sent only with a fair chance to be in time.
+     */
     boolean held;
+
     int probeRounds;
+
     /** The call waits for probes until then. */
     long probeUntilUs = Long.MIN_VALUE;
 
--- a/src/main/java/passhatch/SettingsBuilder.java
+++ b/src/main/java/passhatch/SettingsBuilder.java
@@ -10,9 +10,9 @@
 import passhatch.Balancer.Tenant;
 
 /**
- * Settings by name, with defaults: one copy, one tier, one zone, discovery that pushes, nothing priced, no
- * tenants. Only the classes of requests must be given. The meaning and the unit of each figure stand at the
- * records of {@link Balancer}; {@link Logic} checks them.
+ * Settings by name, with defaults: one copy, one tier, one zone, discovery that pushes, nothing
+ * priced, no tenants. Only the classes of requests must be given. The meaning and the unit of each
+ * figure stand at the records of {@link Balancer}; {@link Logic} checks them.
  */
 public final class SettingsBuilder {
 
@@ -54,7 +54,10 @@
         return this;
     }
 
-    /** Default: 0.5 s to stop at a drain; a quarter of the capacity at first, 30 s cold, twice tips over. */
+    /**
+     * Default: 0.5 s to stop at a drain; a quarter of the capacity at first, 30 s cold, twice tips
+     * over.
+     */
     public SettingsBuilder rules(Rules given) {
         rules = given;
         return this;
@@ -66,7 +69,9 @@
         return this;
     }
 
-    /** How many instances send to the same tier, and which of them this is, from 0. Default: 1, 0. */
+    /**
+     * How many instances send to the same tier, and which of them this is, from 0. Default: 1, 0.
+     */
     public SettingsBuilder copies(int all, int number) {
         copies = all;
         copy = number;
@@ -100,7 +105,19 @@
 
     /** The settings, not yet checked. */
     public Settings build() {
-        return new Settings(List.copyOf(classes), List.copyOf(tenants), limits, rules, prices, copies, copy,
-                tier, tiers, zone, watch, overQuotaWorth, tickUs);
+        return new Settings(
+                List.copyOf(classes),
+                List.copyOf(tenants),
+                limits,
+                rules,
+                prices,
+                copies,
+                copy,
+                tier,
+                tiers,
+                zone,
+                watch,
+                overQuotaWorth,
+                tickUs);
     }
 }
--- a/src/main/java/passhatch/SettingsCheck.java
+++ b/src/main/java/passhatch/SettingsCheck.java
@@ -9,7 +9,7 @@
 /** Refuses settings that make no sense, naming the field. */
 final class SettingsCheck {
 
-    private SettingsCheck() { }
+    private SettingsCheck() {}
 
     static void check(Settings s) {
         need(s != null, "settings", "missing");
@@ -30,7 +30,10 @@
         for (int i = 0; i < s.tenants().size(); i++) {
             Tenant t = s.tenants().get(i);
             need(t != null, "tenants[" + i + "]", "missing");
-            need(t.quotaPerSecond() >= 0, "tenants[" + i + "].quotaPerSecond", "must not be negative");
+            need(
+                    t.quotaPerSecond() >= 0,
+                    "tenants[" + i + "].quotaPerSecond",
+                    "must not be negative");
         }
         Limits limits = s.limits();
         need(limits != null, "limits", "missing");
@@ -42,7 +45,10 @@
         need(rules != null, "rules", "missing");
         need(rules.drainGraceUs() >= 0, "rules.drainGraceUs", "must not be negative");
         need(rules.askWithinUs() >= 0, "rules.askWithinUs", "must not be negative");
-        need(rules.coldFrom() > 0 && rules.coldFrom() <= 1, "rules.coldFrom", "must lie above 0, up to 1");
+        need(
+                rules.coldFrom() > 0 && rules.coldFrom() <= 1,
+                "rules.coldFrom",
+                "must lie above 0, up to 1");
         need(rules.coldUs() >= 0, "rules.coldUs", "must not be negative");
         need(rules.tipMultiple() > 0, "rules.tipMultiple", "must be above 0");
         need(rules.overloadForUs() >= 0, "rules.overloadForUs", "must not be negative");
@@ -52,7 +58,10 @@
         need(s.copy() >= 0 && s.copy() < s.copies(), "copy", "must lie within copies");
         need(s.tiers() >= 1, "tiers", "must be at least 1");
         need(s.tier() >= 0 && s.tier() < s.tiers(), "tier", "must lie within tiers");
-        need(s.overQuotaWorth() >= 0 && s.overQuotaWorth() <= 1, "overQuotaWorth", "must lie in 0..1");
+        need(
+                s.overQuotaWorth() >= 0 && s.overQuotaWorth() <= 1,
+                "overQuotaWorth",
+                "must lie in 0..1");
         need(s.tickUs() >= 1, "tickUs", "must be at least 1");
     }
 
--- a/src/main/java/passhatch/SettingsReader.java
+++ b/src/main/java/passhatch/SettingsReader.java
@@ -30,10 +30,18 @@
         SettingsReader top = new SettingsReader(params, "");
         List<RequestClass> classes = new ArrayList<>();
         for (SettingsReader c : top.list("categories")) {
-            classes.add(new RequestClass(c.text("name", ""), c.whole("goalTimeUs"), c.whole("deadlineUs"),
-                    c.number("worth"), c.number("lateWorth", 0), c.effect(), c.group(),
-                    (long) c.number("dedupWindowUs", 0), c.indices("runsIn"),
-                    c.indices("machineTypesOnly")));
+            classes.add(
+                    new RequestClass(
+                            c.text("name", ""),
+                            c.whole("goalTimeUs"),
+                            c.whole("deadlineUs"),
+                            c.number("worth"),
+                            c.number("lateWorth", 0),
+                            c.effect(),
+                            c.group(),
+                            (long) c.number("dedupWindowUs", 0),
+                            c.indices("runsIn"),
+                            c.indices("machineTypesOnly")));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (SettingsReader t : top.list("tenants")) {
@@ -43,18 +51,30 @@
         SettingsReader rules = top.object("rules");
         SettingsReader prices = top.object("fees");
         boolean ask = top.text("discovery", "pushed").equals("on_request");
-        int tiers = top.values.get("layers") instanceof List<?> names ? Math.max(1, names.size()) : 1;
+        int tiers =
+                top.values.get("layers") instanceof List<?> names ? Math.max(1, names.size()) : 1;
         SettingsBuilder built = new SettingsBuilder();
         classes.forEach(built::requestClass);
         tenants.forEach(built::tenant);
-        return built
-                .limits(new Limits((int) limits.whole("maxAttempts"), limits.flag("cancel"),
-                        limits.flag("probes"),
-                        limits.flag("retryAfter") ? (long) limits.number("maxRetryAfterUs", 0) : 0,
-                        (int) limits.number("maxStreams", 1), (long) limits.number("keepaliveUs", 0)))
-                .rules(new Rules(rules.whole("drainGraceUs"), ask ? rules.whole("askEveryUs") : 0,
-                        rules.number("coldFrom"), rules.whole("coldUs"), rules.number("tipMultiple"),
-                        rules.whole("overloadForUs"), (long) rules.number("letGoInUs", 0)))
+        return built.limits(
+                        new Limits(
+                                (int) limits.whole("maxAttempts"),
+                                limits.flag("cancel"),
+                                limits.flag("probes"),
+                                limits.flag("retryAfter")
+                                        ? (long) limits.number("maxRetryAfterUs", 0)
+                                        : 0,
+                                (int) limits.number("maxStreams", 1),
+                                (long) limits.number("keepaliveUs", 0)))
+                .rules(
+                        new Rules(
+                                rules.whole("drainGraceUs"),
+                                ask ? rules.whole("askEveryUs") : 0,
+                                rules.number("coldFrom"),
+                                rules.whole("coldUs"),
+                                rules.number("tipMultiple"),
+                                rules.whole("overloadForUs"),
+                                (long) rules.number("letGoInUs", 0)))
                 .prices(new Prices(prices.number("probe", 0), prices.number("crossZone", 0)))
                 .copies((int) top.whole("balancers"), (int) top.number("me", 0))
                 .tier((int) top.number("layer", 0), tiers)
@@ -146,7 +166,8 @@
 
     private SettingsReader object(String key) throws BadSettings {
         Object value = values.get(key);
-        return new SettingsReader(value == null ? Map.of() : asObject(value, key), path + key + ".");
+        return new SettingsReader(
+                value == null ? Map.of() : asObject(value, key), path + key + ".");
     }
 
     private List<SettingsReader> list(String key) throws BadSettings {
--- a/src/main/java/passhatch/adapter/Adapter.java
+++ b/src/main/java/passhatch/adapter/Adapter.java
@@ -5,16 +5,19 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 
-/** Decides for a simulator's instances, whose events come and whose actions go as batches, one a line. */
+/**
+ * Decides for a simulator's instances, whose events come and whose actions go as batches, one a
+ * line.
+ */
 public final class Adapter {
 
-    private Adapter() { }
+    private Adapter() {}
 
     /**
      * Serves until the input ends.
      *
-     * @return the exit status: 0 at the input's end, 1 where the input is not the wire's or fails, after one
-     *     line on {@code err}
+     * @return the exit status: 0 at the input's end, 1 where the input is not the wire's or fails,
+     *     after one line on {@code err}
      */
     public static int run(InputStream in, OutputStream out, PrintStream err) {
         try {
--- a/src/main/java/passhatch/adapter/BatchReader.java
+++ b/src/main/java/passhatch/adapter/BatchReader.java
@@ -60,9 +60,13 @@
             return true;
         } catch (JsonProcessingException e) {
             var at = e.getLocation();
-            throw new WireException("line " + (at == null ? line : at.getLineNr()) + ", column "
-                    + (at == null ? 0 : at.getColumnNr()) + ": not valid JSON: "
-                    + e.getOriginalMessage().lines().findFirst().orElse(""));
+            throw new WireException(
+                    "line "
+                            + (at == null ? line : at.getLineNr())
+                            + ", column "
+                            + (at == null ? 0 : at.getColumnNr())
+                            + ": not valid JSON: "
+                            + e.getOriginalMessage().lines().findFirst().orElse(""));
         }
     }
 
@@ -195,7 +199,8 @@
                 }
             }
             if (id == null || status == null) {
-                throw bad("catalog: field " + (id == null ? "backend" : "readiness") + " is missing");
+                throw bad(
+                        "catalog: field " + (id == null ? "backend" : "readiness") + " is missing");
             }
             nodes.add(new Server(id, startedAtUs, zone, group, status, model));
         }
@@ -246,7 +251,8 @@
 
     private long number(String field) throws IOException, WireException {
         if (parser.currentToken() == JsonToken.VALUE_NUMBER_INT) {
-            return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER ? Long.MAX_VALUE
+            return parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                    ? Long.MAX_VALUE
                     : parser.getLongValue();
         }
         throw bad("field " + field + " must be a whole number");
@@ -275,7 +281,10 @@
 
     private void expect(JsonToken token, JsonToken wanted, String what) throws WireException {
         if (token != wanted) {
-            throw bad(what + " must be " + (wanted == JsonToken.START_OBJECT ? "an object" : "an array"));
+            throw bad(
+                    what
+                            + " must be "
+                            + (wanted == JsonToken.START_OBJECT ? "an object" : "an array"));
         }
     }
 
--- a/src/main/java/passhatch/adapter/Wire.java
+++ b/src/main/java/passhatch/adapter/Wire.java
@@ -26,13 +26,14 @@
 
     /** Bit of an inbound request's marks: the client says that it tries again. */
     private static final int MARK_RETRY = 2;
+
     /** Bit of an inbound request's marks: its expected work is valid. */
     private static final int MARK_HINT = 1;
 
     /** Where the values of a load report stand; -1 where they are not given. */
-    private record Fields(int inFlight, int queue, int utilisation) { }
+    private record Fields(int inFlight, int queue, int utilisation) {}
 
-    private record Instance(Balancer balancer, Fields fields) { }
+    private record Instance(Balancer balancer, Fields fields) {}
 
     private final BatchReader reader;
     private final OutputStream out;
@@ -93,7 +94,7 @@
                 instances.remove(e.who);
                 return;
             }
-            default -> { }
+            default -> {}
         }
         Instance instance = instance(e);
         Balancer balancer = instance.balancer();
@@ -101,31 +102,55 @@
             case "inbound" -> {
                 long marks = e.marks == Event.ABSENT ? 0 : e.marks;
                 boolean hint = (marks & MARK_HINT) != 0 && e.predictedUs != Event.ABSENT;
-                balancer.request(now, new Request(e.required(e.opId, "opId"),
-                        (int) e.required(e.profile, "profile"),
-                        e.billing == Event.ABSENT ? 0 : (int) e.billing, e.required(e.budgetUs, "budgetUs"),
-                        hint ? e.predictedUs : 0, (marks & MARK_RETRY) != 0));
+                balancer.request(
+                        now,
+                        new Request(
+                                e.required(e.opId, "opId"),
+                                (int) e.required(e.profile, "profile"),
+                                e.billing == Event.ABSENT ? 0 : (int) e.billing,
+                                e.required(e.budgetUs, "budgetUs"),
+                                hint ? e.predictedUs : 0,
+                                (marks & MARK_RETRY) != 0));
             }
-            case "reply" -> balancer.outcome(now, e.required(e.opId, "opId"), (int) e.required(e.leg, "leg"),
-                    e.backend, outcome(e), e.required(e.elapsedUs, "elapsedUs"), e.last,
-                    report(instance.fields(), e.stats));
-            case "healthResult" -> balancer.probeResult(now, e.required(e.backend, "backend"), outcome(e),
-                    e.required(e.elapsedUs, "elapsedUs"), report(instance.fields(), e.stats));
+            case "reply" ->
+                    balancer.outcome(
+                            now,
+                            e.required(e.opId, "opId"),
+                            (int) e.required(e.leg, "leg"),
+                            e.backend,
+                            outcome(e),
+                            e.required(e.elapsedUs, "elapsedUs"),
+                            e.last,
+                            report(instance.fields(), e.stats));
+            case "healthResult" ->
+                    balancer.probeResult(
+                            now,
+                            e.required(e.backend, "backend"),
+                            outcome(e),
+                            e.required(e.elapsedUs, "elapsedUs"),
+                            report(instance.fields(), e.stats));
             case "backendsChanged" -> listChanged(balancer, now, e);
             case "elapsed" -> balancer.timer(now);
             case "left" -> balancer.clientGone(now, e.required(e.opId, "opId"));
-            case "established" -> balancer.streamStarted(now, e.required(e.opId, "opId"),
-                    (int) e.required(e.leg, "leg"), e.backend, e.required(e.elapsedUs, "elapsedUs"));
-            case "datagram" -> { }
-            default -> throw new WireException("line " + e.line + ": message '" + e.msg + "' is not known");
+            case "established" ->
+                    balancer.streamStarted(
+                            now,
+                            e.required(e.opId, "opId"),
+                            (int) e.required(e.leg, "leg"),
+                            e.backend,
+                            e.required(e.elapsedUs, "elapsedUs"));
+            case "datagram" -> {}
+            default ->
+                    throw new WireException(
+                            "line " + e.line + ": message '" + e.msg + "' is not known");
         }
     }
 
     private Instance instance(Event e) throws WireException {
         Instance instance = instances.get(e.who);
         if (instance == null) {
-            throw new WireException("line " + e.line + ": " + e.msg + ": instance " + e.who
-                    + " was not started");
+            throw new WireException(
+                    "line " + e.line + ": " + e.msg + ": instance " + e.who + " was not started");
         }
         return instance;
     }
@@ -142,8 +167,11 @@
     }
 
     private static Fields fields(Map<String, Object> params) {
-        List<?> names = params.get("loadInfo") instanceof Map<?, ?> info
-                && info.get("fields") instanceof List<?> list ? list : List.of();
+        List<?> names =
+                params.get("loadInfo") instanceof Map<?, ?> info
+                                && info.get("fields") instanceof List<?> list
+                        ? list
+                        : List.of();
         return new Fields(names.indexOf("inflight"), names.indexOf("queue"), names.indexOf("util"));
     }
 
@@ -151,7 +179,9 @@
         if (stats == null) {
             return null;
         }
-        return new LoadReport(value(stats, fields.inFlight()), value(stats, fields.queue()),
+        return new LoadReport(
+                value(stats, fields.inFlight()),
+                value(stats, fields.queue()),
                 value(stats, fields.utilisation()));
     }
 
@@ -165,17 +195,27 @@
             balancer.discoveryFailed(now);
             return;
         }
-        ListKind kind = switch (mode) {
-            case "changes" -> ListKind.CHANGES;
-            case "all" -> ListKind.WHOLE;
-            case "remembered" -> ListKind.REMEMBERED;
-            default -> throw new WireException("line " + e.line + ": backendsChanged: mode '" + mode
-                    + "' is not known");
-        };
+        ListKind kind =
+                switch (mode) {
+                    case "changes" -> ListKind.CHANGES;
+                    case "all" -> ListKind.WHOLE;
+                    case "remembered" -> ListKind.REMEMBERED;
+                    default ->
+                            throw new WireException(
+                                    "line "
+                                            + e.line
+                                            + ": backendsChanged: mode '"
+                                            + mode
+                                            + "' is not known");
+                };
         List<Server> list = catalogs.get(e.required(e.rosterId, "rosterId"));
         if (list == null) {
-            throw new WireException("line " + e.line + ": backendsChanged: catalog " + e.rosterId
-                    + " was not given");
+            throw new WireException(
+                    "line "
+                            + e.line
+                            + ": backendsChanged: catalog "
+                            + e.rosterId
+                            + " was not given");
         }
         balancer.serversChanged(now, kind, list);
     }
@@ -190,8 +230,15 @@
             case "ABORTED" -> Outcome.RESET;
             case "CANCELLED" -> Outcome.CANCELLED;
             case "TOO_LATE" -> Outcome.NOT_SENT;
-            default -> throw new WireException("line " + e.line + ": " + e.msg + ": ending '" + e.ending
-                    + "' is not known");
+            default ->
+                    throw new WireException(
+                            "line "
+                                    + e.line
+                                    + ": "
+                                    + e.msg
+                                    + ": ending '"
+                                    + e.ending
+                                    + "' is not known");
         };
     }
 
@@ -217,21 +264,25 @@
 
         @Override
         public void send(String request, String server, long timeoutUs) {
-            write("relay", () -> {
-                json.writeStringField("opId", request);
-                json.writeStringField("backend", server);
-                json.writeNumberField("limitUs", timeoutUs);
-            });
+            write(
+                    "relay",
+                    () -> {
+                        json.writeStringField("opId", request);
+                        json.writeStringField("backend", server);
+                        json.writeNumberField("limitUs", timeoutUs);
+                    });
         }
 
         @Override
         public void refuse(String request, long retryAfterUs) {
-            write("turnAway", () -> {
-                json.writeStringField("opId", request);
-                if (retryAfterUs > 0) {
-                    json.writeNumberField("coolDownUs", retryAfterUs);
-                }
-            });
+            write(
+                    "turnAway",
+                    () -> {
+                        json.writeStringField("opId", request);
+                        if (retryAfterUs > 0) {
+                            json.writeNumberField("coolDownUs", retryAfterUs);
+                        }
+                    });
         }
 
         @Override
@@ -241,10 +292,12 @@
 
         @Override
         public void cancel(String request, int attempt) {
-            write("recall", () -> {
-                json.writeStringField("opId", request);
-                json.writeNumberField("leg", attempt);
-            });
+            write(
+                    "recall",
+                    () -> {
+                        json.writeStringField("opId", request);
+                        json.writeNumberField("leg", attempt);
+                    });
         }
 
         @Override
@@ -259,10 +312,12 @@
 
         @Override
         public void wakeAt(long atUs) {
-            write("wakeAt", () -> {
-                json.writeNumberField("dueAtUs", atUs);
-                json.writeNumberField("mark", 0);
-            });
+            write(
+                    "wakeAt",
+                    () -> {
+                        json.writeNumberField("dueAtUs", atUs);
+                        json.writeNumberField("mark", 0);
+                    });
         }
 
         @Override
--- a/src/main/java/passhatch/agent/Agent.java
+++ b/src/main/java/passhatch/agent/Agent.java
@@ -24,6 +24,7 @@
 public final class Agent {
 
     private static final Logger LOG = LoggerFactory.getLogger(Agent.class);
+
     /** So long the others are told that this one goes. */
     private static final long FAREWELL_MS = 1_000;
 
@@ -32,16 +33,22 @@
     private final EventLoop loop;
     private AgentConfig config;
     private AgentStore store;
+
     /** Null where no fleet is configured. */
     private FleetNode node;
+
     /** Null where no duties are configured. */
     private DutyNode duties;
 
     private Agent(Path file, Map<String, String> env) {
         this.file = file;
         this.env = env;
-        this.loop = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("agent", true),
-                NioIoHandler.newFactory()).next();
+        this.loop =
+                new MultiThreadIoEventLoopGroup(
+                                1,
+                                new DefaultThreadFactory("agent", true),
+                                NioIoHandler.newFactory())
+                        .next();
     }
 
     /**
@@ -57,10 +64,13 @@
         Agent agent = new Agent(file, env);
         agent.start(version);
         HangUp.handle(() -> agent.loop.execute(agent::reload));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            agent.stop();
-            Runtime.getRuntime().halt(0);
-        }));
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    agent.stop();
+                                    Runtime.getRuntime().halt(0);
+                                }));
         // The hook ends the process.
         new CountDownLatch(1).await();
     }
@@ -74,42 +84,71 @@
             SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
             node.start(version, random);
             if (config.duties() != null) {
-                loop.submit(() -> {
-                    duties = new DutyNode(loop, node, store, config.duties(), config.fleet().self(), random);
-                }).sync();
+                loop.submit(
+                                () -> {
+                                    duties =
+                                            new DutyNode(
+                                                    loop,
+                                                    node,
+                                                    store,
+                                                    config.duties(),
+                                                    config.fleet().self(),
+                                                    random);
+                                })
+                        .sync();
             }
         }
-        new Control(loop, new EventLog(System.err), () -> node == null || node.takesPart(),
-                () -> node == null ? "" : MembersText.figures(node), this::answer).listen(config.control());
-        LOG.atInfo().addKeyValue("event", "started").addKeyValue("version", version)
-                .addKeyValue("epoch", store == null ? 0 : store.epoch()).log("the agent runs");
+        new Control(
+                        loop,
+                        new EventLog(System.err),
+                        () -> node == null || node.takesPart(),
+                        () -> node == null ? "" : MembersText.figures(node),
+                        this::answer)
+                .listen(config.control());
+        LOG.atInfo()
+                .addKeyValue("event", "started")
+                .addKeyValue("version", version)
+                .addKeyValue("epoch", store == null ? 0 : store.epoch())
+                .log("the agent runs");
     }
 
     private String answer(String call) {
         String[] words = call.split(" +");
         return switch (words[0]) {
-            case "members" -> node == null ? "error no fleet is configured\n" : MembersText.json(node);
+            case "members" ->
+                    node == null ? "error no fleet is configured\n" : MembersText.json(node);
             case "duties" -> duties == null ? "error no duties are configured\n" : duties.json();
             case "found" -> duties == null ? "error no duties are configured\n" : duties.found();
-            case "act" -> duties == null || words.length != 2 ? "error act DUTY\n" : duties.act(words[1]);
-            case "give-up" -> duties == null || words.length < 2 ? "error give-up DUTY [TO]\n"
-                    : duties.giveUp(words[1], words.length > 2 ? words[2] : null);
+            case "act" ->
+                    duties == null || words.length != 2 ? "error act DUTY\n" : duties.act(words[1]);
+            case "give-up" ->
+                    duties == null || words.length < 2
+                            ? "error give-up DUTY [TO]\n"
+                            : duties.giveUp(words[1], words.length > 2 ? words[2] : null);
             default -> null;
         };
     }
 
-    /** All or nothing: what cannot be changed in a running process, or cannot be used, changes nothing. */
+    /**
+     * All or nothing: what cannot be changed in a running process, or cannot be used, changes
+     * nothing.
+     */
     private void reload() {
         try {
             AgentConfig newer = AgentConfig.read(file, env);
-            boolean possible = newer.control().equals(config.control())
-                    && newer.store().equals(config.store())
-                    && Objects.equals(newer.duties(), config.duties())
-                    && (config.fleet() == null ? newer.fleet() == null
-                    : config.fleet().sameButMembers(newer.fleet()));
+            boolean possible =
+                    newer.control().equals(config.control())
+                            && newer.store().equals(config.store())
+                            && Objects.equals(newer.duties(), config.duties())
+                            && (config.fleet() == null
+                                    ? newer.fleet() == null
+                                    : config.fleet().sameButMembers(newer.fleet()));
             if (!possible) {
-                LOG.atError().addKeyValue("event", "configuration").log("nothing is changed: "
-                        + "only fleet.members and fleet.own can be while the agent runs");
+                LOG.atError()
+                        .addKeyValue("event", "configuration")
+                        .log(
+                                "nothing is changed: only fleet.members and fleet.own can be while"
+                                        + " the agent runs");
                 return;
             }
             if (node != null && !newer.equals(config)) {
@@ -117,7 +156,8 @@
             }
             config = newer;
         } catch (BadInput bad) {
-            LOG.atError().addKeyValue("event", "configuration")
+            LOG.atError()
+                    .addKeyValue("event", "configuration")
                     .log("nothing is changed: {}", bad.getMessage());
         }
     }
@@ -129,10 +169,12 @@
         try {
             loop.submit(node::leave).sync();
             TimeUnit.MILLISECONDS.sleep(FAREWELL_MS);
-            loop.submit(() -> {
-                store.close();
-                return null;
-            }).sync();
+            loop.submit(
+                            () -> {
+                                store.close();
+                                return null;
+                            })
+                    .sync();
             LOG.atInfo().addKeyValue("event", "ended").log("the agent has left");
         } catch (InterruptedException stop) {
             Thread.currentThread().interrupt();
--- a/src/main/java/passhatch/agent/AgentConfig.java
+++ b/src/main/java/passhatch/agent/AgentConfig.java
@@ -16,9 +16,9 @@
 import passhatch.proxy.base.Addresses;
 
 /**
- * An agent's configuration, checked. What a file leaves out of {@code [fleet]} that the platform tells each
- * proxy comes from there: the own name from {@code PROXY_NAME}, where to listen and the members from the file
- * that {@code PROXY_CONFIG} names.
+ * An agent's configuration, checked. What a file leaves out of {@code [fleet]} that the platform
+ * tells each proxy comes from there: the own name from {@code PROXY_NAME}, where to listen and the
+ * members from the file that {@code PROXY_CONFIG} names.
  *
  * @param control where operators can ask
  * @param store folder of what has to survive a power loss
@@ -29,15 +29,20 @@
 
     /** The shortest and the longest probe period. */
     private static final Duration SHORTEST = Duration.ofMillis(50);
+
     private static final Duration LONGEST = Duration.ofMinutes(1);
+
     /** Less does not pay for the probes. */
     private static final long LEAST_BYTES = 2_048;
+
     private static final int MOST_MEMBERS = 4_096;
 
-    private static final String DEFAULTS = """
+    private static final String DEFAULTS =
+            """
             [agent]
             """;
-    private static final String DUTY_DEFAULTS = """
+    private static final String DUTY_DEFAULTS =
+            """
             [duties]
             epoch = 1
             lease = "4s"
@@ -45,7 +50,8 @@
             wanted = []
             rank = 0
             """;
-    private static final String FLEET_DEFAULTS = """
+    private static final String FLEET_DEFAULTS =
+            """
             [fleet]
             roles = ["proxy"]
             period = "500ms"
@@ -60,93 +66,167 @@
      * @param wanted names of the duties for which this process stands
      * @param rank 0 for those that should have them rather than others
      */
-    record Duties(List<String> voters, long epoch, Duration lease, double drift, List<String> wanted,
-            int rank) { }
+    record Duties(
+            List<String> voters,
+            long epoch,
+            Duration lease,
+            double drift,
+            List<String> wanted,
+            int rank) {}
 
     /**
      * The part on membership.
      *
      * @param own place of the own address among the members, or -1 where it is not there
      */
-    record Fleet(String name, String self, InetSocketAddress listen, List<InetSocketAddress> members, int own,
-            String roles, Duration period, long bytesPerSecond, Duration forgetAfter) {
+    record Fleet(
+            String name,
+            String self,
+            InetSocketAddress listen,
+            List<InetSocketAddress> members,
+            int own,
+            String roles,
+            Duration period,
+            long bytesPerSecond,
+            Duration forgetAfter) {
 
         /** Whether the other differs in nothing but the members. */
         boolean sameButMembers(Fleet other) {
-            return other != null && other.equals(new Fleet(name, self, listen, other.members, other.own,
-                    roles, period, bytesPerSecond, forgetAfter));
+            return other != null
+                    && other.equals(
+                            new Fleet(
+                                    name,
+                                    self,
+                                    listen,
+                                    other.members,
+                                    other.own,
+                                    roles,
+                                    period,
+                                    bytesPerSecond,
+                                    forgetAfter));
         }
     }
 
-    private record AgentPart(String control, String store) { }
+    private record AgentPart(String control, String store) {}
 
-    private record FleetPart(String name, String self, String listen, List<String> members, String own,
-            List<String> roles, Duration period, @JsonProperty("bytes_per_second") Long bytesPerSecond,
-            @JsonProperty("forget_after") Duration forgetAfter) { }
+    private record FleetPart(
+            String name,
+            String self,
+            String listen,
+            List<String> members,
+            String own,
+            List<String> roles,
+            Duration period,
+            @JsonProperty("bytes_per_second") Long bytesPerSecond,
+            @JsonProperty("forget_after") Duration forgetAfter) {}
 
-    private record Whole(AgentPart agent, FleetPart fleet, Duties duties) { }
+    private record Whole(AgentPart agent, FleetPart fleet, Duties duties) {}
 
     /** Reads a file and the environment; throws {@link BadInput} with the key and the reason. */
     static AgentConfig read(Path path, Map<String, String> env) {
         TomlFile given = TomlFile.read(path);
-        TomlFile file = given.over(DEFAULTS + (given.tree().has("fleet") ? FLEET_DEFAULTS : "")
-                + (given.tree().has("duties") ? DUTY_DEFAULTS : ""));
+        TomlFile file =
+                given.over(
+                        DEFAULTS
+                                + (given.tree().has("fleet") ? FLEET_DEFAULTS : "")
+                                + (given.tree().has("duties") ? DUTY_DEFAULTS : ""));
         Whole whole = file.as(Whole.class);
-        file.require(whole.agent().store() != null && !whole.agent().store().isBlank(), "agent.store",
+        file.require(
+                whole.agent().store() != null && !whole.agent().store().isBlank(),
+                "agent.store",
                 "a folder that survives a power loss");
         if (whole.duties() != null) {
             check(file, whole);
         }
-        return new AgentConfig(address(file, "agent.control", whole.agent().control()),
+        return new AgentConfig(
+                address(file, "agent.control", whole.agent().control()),
                 Path.of(whole.agent().store()),
-                whole.fleet() == null ? null : fleet(file, whole.fleet(), env), whole.duties());
+                whole.fleet() == null ? null : fleet(file, whole.fleet(), env),
+                whole.duties());
     }
 
     private static void check(TomlFile file, Whole whole) {
         Duties duties = whole.duties();
         file.require(whole.fleet() != null, "duties", "a part [fleet] beside it");
         int voters = duties.voters() == null ? 0 : duties.voters().size();
-        file.require((voters == 3 || voters == 5 || voters == 7)
-                && new HashSet<>(duties.voters()).size() == voters
-                && duties.voters().stream().allMatch(Names::isName), "duties.voters",
+        file.require(
+                (voters == 3 || voters == 5 || voters == 7)
+                        && new HashSet<>(duties.voters()).size() == voters
+                        && duties.voters().stream().allMatch(Names::isName),
+                "duties.voters",
                 "the names of three, five or seven members");
         file.require(duties.epoch() >= 1, "duties.epoch", "1 or more");
-        file.require(within(duties.lease(), Duration.ofMillis(500), Duration.ofMinutes(10)), "duties.lease",
+        file.require(
+                within(duties.lease(), Duration.ofMillis(500), Duration.ofMinutes(10)),
+                "duties.lease",
                 "500ms to 10m");
         file.require(duties.drift() >= 0 && duties.drift() <= 0.2, "duties.drift", "0 to 0.2");
-        file.require(duties.wanted() != null && duties.wanted().stream().allMatch(d -> !d.isEmpty()
-                && Names.isLabel(d)), "duties.wanted",
+        file.require(
+                duties.wanted() != null
+                        && duties.wanted().stream().allMatch(d -> !d.isEmpty() && Names.isLabel(d)),
+                "duties.wanted",
                 "names of at most " + Names.MOST_LABEL + " characters");
         file.require(duties.rank() >= 0 && duties.rank() <= 100, "duties.rank", "0 to 100");
     }
 
     private static Fleet fleet(TomlFile file, FleetPart part, Map<String, String> env) {
-        file.require(part.name() != null && !part.name().isEmpty() && Names.isLabel(part.name()),
-                "fleet.name", "1 to " + Names.MOST_LABEL + " letters, digits or . _ + , -");
+        file.require(
+                part.name() != null && !part.name().isEmpty() && Names.isLabel(part.name()),
+                "fleet.name",
+                "1 to " + Names.MOST_LABEL + " letters, digits or . _ + , -");
         String self = part.self() != null ? part.self() : env.get("PROXY_NAME");
-        file.require(self != null && Names.isName(self), "fleet.self", "the process's own name, 1 to "
-                + Names.MOST_NAME + " letters, digits or . _ -; or PROXY_NAME in the environment");
-        file.require(part.roles() != null && Names.isLabel(String.join(",", part.roles())), "fleet.roles",
-                "words of " + Names.MOST_LABEL + " characters in all, commas between them among these");
+        file.require(
+                self != null && Names.isName(self),
+                "fleet.self",
+                "the process's own name, 1 to "
+                        + Names.MOST_NAME
+                        + " letters, digits or . _ -; or PROXY_NAME in the environment");
+        file.require(
+                part.roles() != null && Names.isLabel(String.join(",", part.roles())),
+                "fleet.roles",
+                "words of "
+                        + Names.MOST_LABEL
+                        + " characters in all, commas between them among these");
         file.require(within(part.period(), SHORTEST, LONGEST), "fleet.period", "50ms to 1m");
-        file.require(part.bytesPerSecond() != null && part.bytesPerSecond() >= LEAST_BYTES,
-                "fleet.bytes_per_second", LEAST_BYTES + " or more");
-        file.require(within(part.forgetAfter(), part.period().multipliedBy(100), Duration.ofDays(365)),
-                "fleet.forget_after", "a hundred periods to a year");
-        Map<String, Object> platform = part.listen() != null && part.members() != null ? Map.of()
-                : platform(env);
+        file.require(
+                part.bytesPerSecond() != null && part.bytesPerSecond() >= LEAST_BYTES,
+                "fleet.bytes_per_second",
+                LEAST_BYTES + " or more");
+        file.require(
+                within(part.forgetAfter(), part.period().multipliedBy(100), Duration.ofDays(365)),
+                "fleet.forget_after",
+                "a hundred periods to a year");
+        Map<String, Object> platform =
+                part.listen() != null && part.members() != null ? Map.of() : platform(env);
         String listen = part.listen() != null ? part.listen() : text(platform.get("peer_listen"));
-        List<String> members = part.members() != null ? part.members() : texts(platform.get("peers"));
-        file.require(listen != null, "fleet.listen",
-                "an address like 10.0.0.4:7946; or peer_listen in the file that PROXY_CONFIG names");
-        file.require(members != null && !members.isEmpty() && members.size() <= MOST_MEMBERS, "fleet.members",
-                "1 to " + MOST_MEMBERS + " addresses; or peers in the file that PROXY_CONFIG names");
-        List<InetSocketAddress> all = members.stream().map(m -> address(file, "fleet.members", m)).toList();
+        List<String> members =
+                part.members() != null ? part.members() : texts(platform.get("peers"));
+        file.require(
+                listen != null,
+                "fleet.listen",
+                "an address like 10.0.0.4:7946; or peer_listen in the file that PROXY_CONFIG"
+                        + " names");
+        file.require(
+                members != null && !members.isEmpty() && members.size() <= MOST_MEMBERS,
+                "fleet.members",
+                "1 to "
+                        + MOST_MEMBERS
+                        + " addresses; or peers in the file that PROXY_CONFIG names");
+        List<InetSocketAddress> all =
+                members.stream().map(m -> address(file, "fleet.members", m)).toList();
         file.require(new HashSet<>(all).size() == all.size(), "fleet.members", "each address once");
         int own = all.indexOf(address(file, "fleet.own", part.own() != null ? part.own() : listen));
         file.require(part.own() == null || own >= 0, "fleet.own", "one of the members");
-        return new Fleet(part.name(), self, address(file, "fleet.listen", listen), all, own,
-                String.join(",", part.roles()), part.period(), part.bytesPerSecond(), part.forgetAfter());
+        return new Fleet(
+                part.name(),
+                self,
+                address(file, "fleet.listen", listen),
+                all,
+                own,
+                String.join(",", part.roles()),
+                part.period(),
+                part.bytesPerSecond(),
+                part.forgetAfter());
     }
 
     private static boolean within(Duration given, Duration least, Duration most) {
@@ -157,8 +237,13 @@
         try {
             return Addresses.parse(text == null ? "" : text);
         } catch (IllegalArgumentException bad) {
-            throw new BadInput(file.name() + ": " + key + ": '" + (text == null ? "" : text)
-                    + "': expected an address and a port, like 10.0.0.4:7946");
+            throw new BadInput(
+                    file.name()
+                            + ": "
+                            + key
+                            + ": '"
+                            + (text == null ? "" : text)
+                            + "': expected an address and a port, like 10.0.0.4:7946");
         }
     }
 
@@ -170,8 +255,10 @@
         try {
             return JSON.std.mapFrom(Files.readString(Path.of(file)));
         } catch (IOException bad) {
-            throw new BadInput(file + " (PROXY_CONFIG): cannot be read: "
-                    + bad.getMessage().lines().findFirst().orElse(""));
+            throw new BadInput(
+                    file
+                            + " (PROXY_CONFIG): cannot be read: "
+                            + bad.getMessage().lines().findFirst().orElse(""));
         }
     }
 
@@ -181,6 +268,7 @@
 
     private static List<String> texts(Object value) {
         return value instanceof List<?> list && list.stream().allMatch(String.class::isInstance)
-                ? list.stream().map(String.class::cast).toList() : null;
+                ? list.stream().map(String.class::cast).toList()
+                : null;
     }
 }
--- a/src/main/java/passhatch/agent/AgentLog.java
+++ b/src/main/java/passhatch/agent/AgentLog.java
@@ -11,7 +11,7 @@
 /** The agent's log: one line of JSON an event, on standard error. */
 final class AgentLog {
 
-    private AgentLog() { }
+    private AgentLog() {}
 
     static void toStandardError() {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
--- a/src/main/java/passhatch/agent/AgentStore.java
+++ b/src/main/java/passhatch/agent/AgentStore.java
@@ -16,12 +16,14 @@
 import passhatch.store.StoreException;
 
 /**
- * What this machine's agent must never forget: the epochs that it has used, and what it promised as a voter.
+ * What this machine's agent must never forget: the epochs that it has used, and what it promised as
+ * a voter.
  */
 final class AgentStore implements AutoCloseable {
 
     /** The kind of a record that holds an epoch, as eight bytes. */
     private static final int EPOCH = 1;
+
     /** The kind of a record that holds a promise, as JSON. */
     private static final int PROMISE = 2;
 
@@ -38,7 +40,8 @@
         FolderDisk disk = FolderDisk.take(folder);
         try {
             log = RecordLog.open(disk, owner, this::replay);
-            // The store's own epoch as well: after a salvage without the record it is still a newer one.
+            // The store's own epoch as well: after a salvage without the record it is still a newer
+            // one.
             epoch = Math.max(epoch + 1, log.epoch());
             // As a snapshot, so that the log does not grow with each start.
             List<Entry> state = new ArrayList<>(List.of(entry(epoch)));
@@ -56,8 +59,11 @@
         } else if (entry.kind() == PROMISE) {
             try {
                 Map<String, Object> kept = JSON.std.mapFrom(entry.bytes());
-                Promise promise = new Promise((String) kept.get("duty"),
-                        ((Number) kept.get("term")).longValue(), (String) kept.get("holder"));
+                Promise promise =
+                        new Promise(
+                                (String) kept.get("duty"),
+                                ((Number) kept.get("term")).longValue(),
+                                (String) kept.get("holder"));
                 promises.put(promise.duty(), promise);
             } catch (IOException cannotBe) {
                 // Its checksum was right, so this program wrote it in another form.
@@ -72,8 +78,16 @@
 
     private static Entry entry(Promise promise) {
         try {
-            return new Entry(PROMISE, JSON.std.asBytes(Map.of("duty", promise.duty(), "term", promise.term(),
-                    "holder", promise.holder())));
+            return new Entry(
+                    PROMISE,
+                    JSON.std.asBytes(
+                            Map.of(
+                                    "duty",
+                                    promise.duty(),
+                                    "term",
+                                    promise.term(),
+                                    "holder",
+                                    promise.holder())));
         } catch (IOException cannotBe) {
             throw new IllegalStateException(cannotBe);
         }
--- a/src/main/java/passhatch/agent/DutyNode.java
+++ b/src/main/java/passhatch/agent/DutyNode.java
@@ -22,7 +22,8 @@
 import passhatch.store.StoreException;
 
 /**
- * Drives the duties of this machine's agent on its event loop: as a voter, where it is one, and as candidate.
+ * Drives the duties of this machine's agent on its event loop: as a voter, where it is one, and as
+ * candidate.
  */
 final class DutyNode {
 
@@ -55,10 +56,16 @@
                 timer.cancel(false);
             }
             long at = candidate.wakeAtUs();
-            timer = at == Long.MAX_VALUE ? null : loop.schedule(() -> {
-                candidate.timer(FleetNode.nowUs());
-                plan();
-            }, Math.max(0, at - FleetNode.nowUs()), TimeUnit.MICROSECONDS);
+            timer =
+                    at == Long.MAX_VALUE
+                            ? null
+                            : loop.schedule(
+                                    () -> {
+                                        candidate.timer(FleetNode.nowUs());
+                                        plan();
+                                    },
+                                    Math.max(0, at - FleetNode.nowUs()),
+                                    TimeUnit.MICROSECONDS);
         }
 
         @Override
@@ -68,27 +75,42 @@
 
         @Override
         public void granted(long term) {
-            LOG.atInfo().addKeyValue("event", "duty").addKeyValue("duty", duty).addKeyValue("term", term)
+            LOG.atInfo()
+                    .addKeyValue("event", "duty")
+                    .addKeyValue("duty", duty)
+                    .addKeyValue("term", term)
                     .log("this process has the duty");
         }
 
         @Override
         public void lost(long term) {
-            LOG.atInfo().addKeyValue("event", "duty").addKeyValue("duty", duty).addKeyValue("term", term)
+            LOG.atInfo()
+                    .addKeyValue("event", "duty")
+                    .addKeyValue("duty", duty)
+                    .addKeyValue("term", term)
                     .log("the duty is gone");
         }
     }
 
     /** Takes part from now on; on the loop. */
-    DutyNode(EventLoop loop, FleetNode fleet, AgentStore store, AgentConfig.Duties config, String self,
+    DutyNode(
+            EventLoop loop,
+            FleetNode fleet,
+            AgentStore store,
+            AgentConfig.Duties config,
+            String self,
             RandomGenerator random) {
         this.loop = loop;
         this.fleet = fleet;
         this.store = store;
         this.config = config;
         this.self = self;
-        this.settings = new DutySettings(config.voters(), config.epoch(),
-                TimeUnit.MICROSECONDS.convert(config.lease()), config.drift());
+        this.settings =
+                new DutySettings(
+                        config.voters(),
+                        config.epoch(),
+                        TimeUnit.MICROSECONDS.convert(config.lease()),
+                        config.drift());
         if (config.voters().contains(self)) {
             voter = new Voter(settings, FleetNode.nowUs(), store.promises(), this::keep);
         }
@@ -105,14 +127,17 @@
     /** Asks the other voters what this one has forgotten, as long as it does not vote. */
     private void recall() {
         if (voter != null && !voter.votes()) {
-            config.voters().stream().filter(v -> !v.equals(self)).forEach(v -> send(v, voter.recall()));
+            config.voters().stream()
+                    .filter(v -> !v.equals(self))
+                    .forEach(v -> send(v, voter.recall()));
             loop.schedule(this::recall, RECALL_EVERY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
     /** Lets this voter vote without a memory, at the first founding of the voters. */
     String found() {
-        return voter != null && voter.found() ? "done\n"
+        return voter != null && voter.found()
+                ? "done\n"
                 : "error this process is no voter, or votes already\n";
     }
 
@@ -121,7 +146,9 @@
             store.keep(promise);
             return true;
         } catch (StoreException failed) {
-            LOG.atError().addKeyValue("event", "store").log("nothing is granted: {}", failed.getMessage());
+            LOG.atError()
+                    .addKeyValue("event", "store")
+                    .log("nothing is granted: {}", failed.getMessage());
             return false;
         }
     }
@@ -154,17 +181,21 @@
     }
 
     /**
-     * Whether this process may act on a duty just now: {@code done TERM}, with the token for whoever carries
-     * it out, or {@code error ...}.
+     * Whether this process may act on a duty just now: {@code done TERM}, with the token for
+     * whoever carries it out, or {@code error ...}.
      */
     String act(String duty) {
         Run run = candidates.get(duty);
         long term = run == null ? 0 : run.candidate.term();
-        return run != null && run.candidate.guard(FleetNode.nowUs(), term) ? "done " + term + "\n"
+        return run != null && run.candidate.guard(FleetNode.nowUs(), term)
+                ? "done " + term + "\n"
                 : "error this process does not hold '" + duty + "'\n";
     }
 
-    /** Gives a duty up, to another candidate where one is named. It wants it again once a lease is over. */
+    /**
+     * Gives a duty up, to another candidate where one is named. It wants it again once a lease is
+     * over.
+     */
     String giveUp(String duty, String to) {
         Run run = candidates.get(duty);
         if (run == null || !run.candidate.mayAct(FleetNode.nowUs())) {
@@ -172,10 +203,13 @@
         }
         run.candidate.giveUp(FleetNode.nowUs(), to);
         run.plan();
-        loop.schedule(() -> {
-            run.candidate.want(FleetNode.nowUs());
-            run.plan();
-        }, settings.leaseUs(), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    run.candidate.want(FleetNode.nowUs());
+                    run.plan();
+                },
+                settings.leaseUs(),
+                TimeUnit.MICROSECONDS);
         return "done\n";
     }
 
@@ -183,22 +217,30 @@
     String json() {
         long now = FleetNode.nowUs();
         List<Object> held = new ArrayList<>();
-        candidates.forEach((duty, run) -> {
-            Map<String, Object> one = new LinkedHashMap<>();
-            one.put("duty", duty);
-            one.put("term", run.candidate.term());
-            one.put("left_ms", run.candidate.leftUs(now) / 1_000);
-            held.add(one);
-        });
+        candidates.forEach(
+                (duty, run) -> {
+                    Map<String, Object> one = new LinkedHashMap<>();
+                    one.put("duty", duty);
+                    one.put("term", run.candidate.term());
+                    one.put("left_ms", run.candidate.leftUs(now) / 1_000);
+                    held.add(one);
+                });
         List<Object> promised = new ArrayList<>();
-        store.promises().stream().map(Promise::duty).filter(d -> !d.isEmpty()).sorted().forEach(duty -> {
-            Map<String, Object> one = new LinkedHashMap<>();
-            one.put("duty", duty);
-            one.put("term", voter == null ? 0 : voter.promised(duty).term());
-            one.put("holder", voter == null ? "" : voter.promised(duty).holder());
-            one.put("bound_ms", voter == null ? 0 : voter.boundForUs(now, duty) / 1_000);
-            promised.add(one);
-        });
+        store.promises().stream()
+                .map(Promise::duty)
+                .filter(d -> !d.isEmpty())
+                .sorted()
+                .forEach(
+                        duty -> {
+                            Map<String, Object> one = new LinkedHashMap<>();
+                            one.put("duty", duty);
+                            one.put("term", voter == null ? 0 : voter.promised(duty).term());
+                            one.put("holder", voter == null ? "" : voter.promised(duty).holder());
+                            one.put(
+                                    "bound_ms",
+                                    voter == null ? 0 : voter.boundForUs(now, duty) / 1_000);
+                            promised.add(one);
+                        });
         Map<String, Object> whole = new LinkedHashMap<>();
         whole.put("self", self);
         whole.put("voter", voter != null);
--- a/src/main/java/passhatch/agent/FleetNode.java
+++ b/src/main/java/passhatch/agent/FleetNode.java
@@ -35,17 +35,21 @@
 import passhatch.store.StoreException;
 
 /**
- * Drives membership over UDP, on one event loop: whatever has arrived is handed over before a timer runs, so
- * that a process that was held does not accuse others whose answers wait at its socket.
+ * Drives membership over UDP, on one event loop: whatever has arrived is handed over before a timer
+ * runs, so that a process that was held does not accuse others whose answers wait at its socket.
  */
 final class FleetNode implements FleetActions {
 
     private static final Logger LOG = LoggerFactory.getLogger(FleetNode.class);
+
     /** More than is allowed, so that a datagram that is too long is seen to be. */
     private static final int RECEIVE_BYTES = 512;
+
     private static final int DATAGRAMS_A_TURN = 512;
+
     /** A thousand members' changes of a moment need not be a thousand lines. */
     private static final int LINES = 50;
+
     private static final long LINES_FOR_US = 10_000_000;
 
     private final EventLoop loop;
@@ -73,23 +77,44 @@
      * @throws IOException where the address cannot be used
      */
     void start(String version, RandomGenerator random) throws IOException, InterruptedException {
-        ChannelFuture bound = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BYTES)
-                        .maxMessagesPerRead(DATAGRAMS_A_TURN))
-                .handler(new Receiver()).bind(config.listen()).await();
+        ChannelFuture bound =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(RECEIVE_BYTES)
+                                        .maxMessagesPerRead(DATAGRAMS_A_TURN))
+                        .handler(new Receiver())
+                        .bind(config.listen())
+                        .await();
         if (!bound.isSuccess()) {
             throw new IOException(config.listen() + ": " + bound.cause().getMessage());
         }
-        loop.submit(() -> {
-            socket = bound.channel();
-            places = places(config.members());
-            membership = new Membership(new FleetSettings(config.name(), config.self(), version,
-                    config.roles(), config.own(), config.members().size(),
-                    TimeUnit.MICROSECONDS.convert(config.period()), config.bytesPerSecond(),
-                    TimeUnit.MICROSECONDS.convert(config.forgetAfter())), nowUs(),
-                    store.epoch(), random, this);
-            plan();
-        }).sync();
+        loop.submit(
+                        () -> {
+                            socket = bound.channel();
+                            places = places(config.members());
+                            membership =
+                                    new Membership(
+                                            new FleetSettings(
+                                                    config.name(),
+                                                    config.self(),
+                                                    version,
+                                                    config.roles(),
+                                                    config.own(),
+                                                    config.members().size(),
+                                                    TimeUnit.MICROSECONDS.convert(config.period()),
+                                                    config.bytesPerSecond(),
+                                                    TimeUnit.MICROSECONDS.convert(
+                                                            config.forgetAfter())),
+                                            nowUs(),
+                                            store.epoch(),
+                                            random,
+                                            this);
+                            plan();
+                        })
+                .sync();
     }
 
     private static Map<InetSocketAddress, Integer> places(List<InetSocketAddress> members) {
@@ -184,7 +209,8 @@
     void reconfigure(AgentConfig.Fleet newer) {
         Map<InetSocketAddress, Integer> to = places(newer.members());
         int[] newPlaces = config.members().stream().mapToInt(m -> to.getOrDefault(m, -1)).toArray();
-        LOG.atInfo().addKeyValue("event", "members-configured")
+        LOG.atInfo()
+                .addKeyValue("event", "members-configured")
                 .addKeyValue("gone", Arrays.stream(newPlaces).filter(p -> p < 0).count())
                 .log("{} addresses are configured now", to.size());
         config = newer;
@@ -193,7 +219,10 @@
         plan();
     }
 
-    /** Says that this process goes; on the loop. It has to go on for a second, so that the others hear it. */
+    /**
+     * Says that this process goes; on the loop. It has to go on for a second, so that the others
+     * hear it.
+     */
     void leave() {
         membership.leave(nowUs());
         plan();
@@ -201,8 +230,9 @@
 
     @Override
     public void send(int address, byte[] datagram) {
-        socket.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram),
-                config.members().get(address)), socket.voidPromise());
+        socket.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(datagram), config.members().get(address)),
+                socket.voidPromise());
     }
 
     @Override
@@ -211,8 +241,9 @@
             store.claim(epoch);
             return true;
         } catch (StoreException failed) {
-            LOG.atError().addKeyValue("event", "store").log("epoch {} is not durable: {}", epoch,
-                    failed.getMessage());
+            LOG.atError()
+                    .addKeyValue("event", "store")
+                    .log("epoch {} is not durable: {}", epoch, failed.getMessage());
             return false;
         }
     }
@@ -222,7 +253,9 @@
         long now = nowUs();
         if (now - linesSinceUs > LINES_FOR_US) {
             if (untold > 0) {
-                LOG.atInfo().addKeyValue("event", "members").log("{} further changes were not told", untold);
+                LOG.atInfo()
+                        .addKeyValue("event", "members")
+                        .log("{} further changes were not told", untold);
             }
             linesSinceUs = now;
             lines = 0;
@@ -232,10 +265,15 @@
             untold++;
             return;
         }
-        LOG.atInfo().addKeyValue("event", "member").addKeyValue("member", after.name())
-                .addKeyValue("incarnation", after.incarnation()).log("{} is {}, was {}", after.name(),
-                        MembersText.label(after.status()), before == null ? "not known"
-                                : MembersText.label(before));
+        LOG.atInfo()
+                .addKeyValue("event", "member")
+                .addKeyValue("member", after.name())
+                .addKeyValue("incarnation", after.incarnation())
+                .log(
+                        "{} is {}, was {}",
+                        after.name(),
+                        MembersText.label(after.status()),
+                        before == null ? "not known" : MembersText.label(before));
     }
 
     @Override
--- a/src/main/java/passhatch/agent/MembersText.java
+++ b/src/main/java/passhatch/agent/MembersText.java
@@ -17,7 +17,7 @@
 /** What operators are told of the members: as JSON, and as figures in the form of {@code vars}. */
 final class MembersText {
 
-    private MembersText() { }
+    private MembersText() {}
 
     static String label(Status status) {
         return status.name().toLowerCase(Locale.ROOT);
@@ -72,8 +72,10 @@
         StringBuilder text = new StringBuilder();
         List<MemberInfo> members = membership.members();
         for (Status status : Status.values()) {
-            line(text, "members{status=\"" + label(status) + "\"}", members.stream()
-                    .filter(m -> m.status() == status).count());
+            line(
+                    text,
+                    "members{status=\"" + label(status) + "\"}",
+                    members.stream().filter(m -> m.status() == status).count());
         }
         line(text, "epoch", membership.incarnation().epoch());
         line(text, "local_health", figures.localHealth());
@@ -81,8 +83,13 @@
         line(text, "datagrams{way=\"in\"}", figures.received());
         line(text, "datagrams{way=\"out\"}", figures.sent());
         line(text, "sent_bytes", figures.sentBytes());
-        Arrays.stream(Drop.values()).forEach(why -> line(text, "dropped{reason=\"" + why.label() + "\"}",
-                figures.dropped().getOrDefault(why, 0L)));
+        Arrays.stream(Drop.values())
+                .forEach(
+                        why ->
+                                line(
+                                        text,
+                                        "dropped{reason=\"" + why.label() + "\"}",
+                                        figures.dropped().getOrDefault(why, 0L)));
         return text.toString();
     }
 
--- a/src/main/java/passhatch/agent/config/TomlFile.java
+++ b/src/main/java/passhatch/agent/config/TomlFile.java
@@ -25,17 +25,22 @@
 import java.util.stream.Collectors;
 
 /**
- * A file in TOML, read into records. Of a bad one it says which file, which key or line, and what was
- * expected there. Times are written like {@code "250ms"}, {@code "5s"} or {@code "2m"}.
+ * A file in TOML, read into records. Of a bad one it says which file, which key or line, and what
+ * was expected there. Times are written like {@code "250ms"}, {@code "5s"} or {@code "2m"}.
  */
 public final class TomlFile {
 
-    private static final TomlMapper TOML = TomlMapper.builder()
-            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES,
-                    DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
-            .addModule(new SimpleModule().addDeserializer(Duration.class, new DurationReader())).build();
+    private static final TomlMapper TOML =
+            TomlMapper.builder()
+                    .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+                    .enable(
+                            DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES,
+                            DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .addModule(
+                            new SimpleModule()
+                                    .addDeserializer(Duration.class, new DurationReader()))
+                    .build();
 
     private final String name;
     private final ObjectNode tree;
@@ -60,8 +65,11 @@
             return new TomlFile(name, TOML.readTree(text).deepCopy());
         } catch (JsonProcessingException bad) {
             JsonLocation at = bad.getLocation();
-            throw new BadInput(name + (at == null ? "" : ":" + at.getLineNr()) + ": not TOML: "
-                    + firstLine(bad.getOriginalMessage()));
+            throw new BadInput(
+                    name
+                            + (at == null ? "" : ":" + at.getLineNr())
+                            + ": not TOML: "
+                            + firstLine(bad.getOriginalMessage()));
         }
     }
 
@@ -83,14 +91,16 @@
     }
 
     private static void merge(ObjectNode into, JsonNode from) {
-        from.properties().forEach(field -> {
-            JsonNode mine = into.get(field.getKey());
-            if (mine instanceof ObjectNode object && field.getValue().isObject()) {
-                merge(object, field.getValue());
-            } else {
-                into.set(field.getKey(), field.getValue());
-            }
-        });
+        from.properties()
+                .forEach(
+                        field -> {
+                            JsonNode mine = into.get(field.getKey());
+                            if (mine instanceof ObjectNode object && field.getValue().isObject()) {
+                                merge(object, field.getValue());
+                            } else {
+                                into.set(field.getKey(), field.getValue());
+                            }
+                        });
     }
 
     /** As a record of this type. */
@@ -98,9 +108,15 @@
         try {
             return TOML.treeToValue(tree, type);
         } catch (UnrecognizedPropertyException unknown) {
-            throw new BadInput(name + ": " + path(unknown) + ": unknown key; expected one of "
-                    + unknown.getKnownPropertyIds().stream().map(String::valueOf).sorted()
-                            .collect(Collectors.joining(", ")));
+            throw new BadInput(
+                    name
+                            + ": "
+                            + path(unknown)
+                            + ": unknown key; expected one of "
+                            + unknown.getKnownPropertyIds().stream()
+                                    .map(String::valueOf)
+                                    .sorted()
+                                    .collect(Collectors.joining(", ")));
         } catch (JsonMappingException bad) {
             throw new BadInput(name + ": " + path(bad) + ": " + reason(bad));
         } catch (JsonProcessingException bad) {
@@ -128,11 +144,15 @@
     }
 
     private static String reason(JsonMappingException bad) {
-        if (bad instanceof InvalidFormatException format && format.getTargetType() != null
+        if (bad instanceof InvalidFormatException format
+                && format.getTargetType() != null
                 && format.getTargetType().isEnum()) {
-            return "'" + format.getValue() + "': expected one of " + Arrays.stream(format.getTargetType()
-                    .getEnumConstants()).map(c -> c.toString().toLowerCase(Locale.ROOT))
-                    .collect(Collectors.joining(", "));
+            return "'"
+                    + format.getValue()
+                    + "': expected one of "
+                    + Arrays.stream(format.getTargetType().getEnumConstants())
+                            .map(c -> c.toString().toLowerCase(Locale.ROOT))
+                            .collect(Collectors.joining(", "));
         }
         return firstLine(bad.getOriginalMessage());
     }
@@ -144,27 +164,31 @@
     /** Times like 250ms, 5s, 2m, 0.5s. */
     private static final class DurationReader extends StdDeserializer<Duration> {
         private static final long serialVersionUID = 1L;
-        private static final Pattern FORM = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s|m|h)");
+        private static final Pattern FORM =
+                Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s|m|h)");
 
         DurationReader() {
             super(Duration.class);
         }
 
         @Override
-        public Duration deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+        public Duration deserialize(JsonParser parser, DeserializationContext context)
+                throws IOException {
             String text = parser.getValueAsString("");
             Matcher parts = FORM.matcher(text.strip());
             if (!parts.matches()) {
-                throw JsonMappingException.from(parser, "'" + text
-                        + "': expected a time like \"250ms\" or \"5s\"");
+                throw JsonMappingException.from(
+                        parser, "'" + text + "': expected a time like \"250ms\" or \"5s\"");
             }
-            double us = Double.parseDouble(parts.group(1)) * switch (parts.group(2)) {
-                case "us" -> 1;
-                case "ms" -> 1e3;
-                case "s" -> 1e6;
-                case "m" -> 6e7;
-                default -> 3.6e9;
-            };
+            double us =
+                    Double.parseDouble(parts.group(1))
+                            * switch (parts.group(2)) {
+                                case "us" -> 1;
+                                case "ms" -> 1e3;
+                                case "s" -> 1e6;
+                                case "m" -> 6e7;
+                                default -> 3.6e9;
+                            };
             return Duration.ofNanos((long) (us * 1_000));
         }
     }
--- a/src/main/java/passhatch/cli/AgentCall.java
+++ b/src/main/java/passhatch/cli/AgentCall.java
@@ -17,9 +17,13 @@
 
     private static final int PATIENCE_MS = 5_000;
 
-    @Option(names = "--control", required = true, paramLabel = "ADDRESS",
+    @Option(
+            names = "--control",
+            required = true,
+            paramLabel = "ADDRESS",
             description = "Where the agent can be asked, like 127.0.0.1:9911.")
     private String control;
+
     @Option(names = "--json", description = "As the agent answers, one line of JSON.")
     private boolean json;
 
@@ -53,7 +57,8 @@
             throw new IOException(control + ": " + failed.getMessage(), failed);
         }
         if (!answer.startsWith(begins)) {
-            throw new IOException(control + ": " + (answer.isBlank() ? "no answer" : answer.strip()));
+            throw new IOException(
+                    control + ": " + (answer.isBlank() ? "no answer" : answer.strip()));
         }
         return answer;
     }
--- a/src/main/java/passhatch/cli/AgentCommand.java
+++ b/src/main/java/passhatch/cli/AgentCommand.java
@@ -9,11 +9,18 @@
 import picocli.CommandLine.Option;
 
 /** The command {@code agent}. */
-@Command(name = "agent", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
-        description = "Runs this machine's agent, which takes part in the fleet (docs/membership.md).")
+@Command(
+        name = "agent",
+        mixinStandardHelpOptions = true,
+        versionProvider = Commands.Version.class,
+        description =
+                "Runs this machine's agent, which takes part in the fleet (docs/membership.md).")
 final class AgentCommand implements Callable<Integer> {
 
-    @Option(names = "--config", required = true, paramLabel = "FILE",
+    @Option(
+            names = "--config",
+            required = true,
+            paramLabel = "FILE",
             description = "Its configuration, in TOML.")
     private Path file;
 
--- a/src/main/java/passhatch/cli/Commands.java
+++ b/src/main/java/passhatch/cli/Commands.java
@@ -15,35 +15,47 @@
 import picocli.CommandLine.ParameterException;
 
 /**
- * The commands with their options and help. Exit codes: 0 done, 1 failed while it ran, 2 wrong use or a file
- * that cannot be used; an error is one line.
+ * The commands with their options and help. Exit codes: 0 done, 1 failed while it ran, 2 wrong use
+ * or a file that cannot be used; an error is one line.
  */
 public final class Commands {
 
     /** The exit status of a command that failed while it ran. */
     public static final int FAILED = 1;
+
     /** The exit status of wrong use. */
     public static final int USAGE = 2;
 
-    private Commands() { }
+    private Commands() {}
 
-    /** The whole command line, to which tools outside the deployed jar add commands of their own. */
+    /**
+     * The whole command line, to which tools outside the deployed jar add commands of their own.
+     */
     public static CommandLine line() {
         CommandLine line = new CommandLine(new Root());
-        line.addSubcommand(new Serve()).addSubcommand(new Decide()).addSubcommand(new Rehearse())
-                .addSubcommand(StoreCommand.line()).addSubcommand(new AgentCommand())
-                .addSubcommand(new MembersCommand()).addSubcommand(new DutiesCommand());
+        line.addSubcommand(new Serve())
+                .addSubcommand(new Decide())
+                .addSubcommand(new Rehearse())
+                .addSubcommand(StoreCommand.line())
+                .addSubcommand(new AgentCommand())
+                .addSubcommand(new MembersCommand())
+                .addSubcommand(new DutiesCommand());
         return oneLineErrors(line);
     }
 
     /** Has errors told in one line, without the usage text. */
     public static CommandLine oneLineErrors(CommandLine line) {
         line.setParameterExceptionHandler(Commands::wrongUse);
-        line.setExecutionExceptionHandler((failure, at, parsed) -> {
-            at.getErr().println("passhatch: " + (failure.getMessage() == null ? failure
-                    : failure.getMessage()));
-            return failure instanceof BadInput ? USAGE : FAILED;
-        });
+        line.setExecutionExceptionHandler(
+                (failure, at, parsed) -> {
+                    at.getErr()
+                            .println(
+                                    "passhatch: "
+                                            + (failure.getMessage() == null
+                                                    ? failure
+                                                    : failure.getMessage()));
+                    return failure instanceof BadInput ? USAGE : FAILED;
+                });
         return line;
     }
 
@@ -54,19 +66,30 @@
     private static int wrongUse(ParameterException bad, String[] args) {
         CommandLine at = bad.getCommandLine();
         PrintWriter err = at.getErr();
-        err.println("passhatch: " + bad.getMessage().lines().findFirst().orElse("wrong use") + "; see '"
-                + at.getCommandSpec().qualifiedName() + " --help'");
+        err.println(
+                "passhatch: "
+                        + bad.getMessage().lines().findFirst().orElse("wrong use")
+                        + "; see '"
+                        + at.getCommandSpec().qualifiedName()
+                        + " --help'");
         return USAGE;
     }
 
-    @Command(name = "passhatch", mixinStandardHelpOptions = true, versionProvider = Version.class,
+    @Command(
+            name = "passhatch",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class,
             description = "A load-balancing HTTP/1.1 proxy for services that call services.",
             footer = {"", "The tools around it (drill) are in passhatch-lab.jar."})
-    private static final class Root extends CommandGroup { }
+    private static final class Root extends CommandGroup {}
 
-    @Command(name = "serve", mixinStandardHelpOptions = true, versionProvider = Version.class,
+    @Command(
+            name = "serve",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class,
             description =
-                    "Runs one proxy, as PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_CONFIG say.")
+                    "Runs one proxy, as PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_CONFIG"
+                            + " say.")
     private static final class Serve implements Callable<Integer> {
         @Override
         public Integer call() throws InterruptedException {
@@ -74,18 +97,30 @@
         }
     }
 
-    @Command(name = "adapter", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "Decides for a simulator: batches on standard input, replies on standard output.")
+    @Command(
+            name = "adapter",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class,
+            description =
+                    "Decides for a simulator: batches on standard input, replies on standard"
+                            + " output.")
     private static final class Decide implements Callable<Integer> {
         @Override
         public Integer call() {
-            return Adapter.run(new FileInputStream(FileDescriptor.in),
-                    new FileOutputStream(FileDescriptor.out), System.err);
+            return Adapter.run(
+                    new FileInputStream(FileDescriptor.in),
+                    new FileOutputStream(FileDescriptor.out),
+                    System.err);
         }
     }
 
-    @Command(name = "rehearse", mixinStandardHelpOptions = true, versionProvider = Version.class,
-            description = "Serves a few requests of its own, for the build's archive of the classes in use.")
+    @Command(
+            name = "rehearse",
+            mixinStandardHelpOptions = true,
+            versionProvider = Version.class,
+            description =
+                    "Serves a few requests of its own, for the build's archive of the classes in"
+                            + " use.")
     private static final class Rehearse implements Callable<Integer> {
         @Override
         public Integer call() {
@@ -103,7 +138,9 @@
     static final class Version implements IVersionProvider {
         @Override
         public String[] getVersion() {
-            return new String[] {"passhatch " + (version().isEmpty() ? "(not packaged)" : version())};
+            return new String[] {
+                "passhatch " + (version().isEmpty() ? "(not packaged)" : version())
+            };
         }
     }
 }
--- a/src/main/java/passhatch/cli/DutiesCommand.java
+++ b/src/main/java/passhatch/cli/DutiesCommand.java
@@ -12,22 +12,34 @@
 import picocli.CommandLine.Spec;
 
 /** The command {@code duties}: asks a running agent, or has it give one up. */
-@Command(name = "duties", mixinStandardHelpOptions = true,
-        description = "Shows the duties that an agent holds, and as a voter has granted (docs/duties.md).")
+@Command(
+        name = "duties",
+        mixinStandardHelpOptions = true,
+        description =
+                "Shows the duties that an agent holds, and as a voter has granted"
+                        + " (docs/duties.md).")
 final class DutiesCommand implements Callable<Integer> {
 
-    @Spec
-    private CommandSpec spec;
-    @Mixin
-    private AgentCall agent;
-    @Option(names = "--give-up", paramLabel = "DUTY",
+    @Spec private CommandSpec spec;
+    @Mixin private AgentCall agent;
+
+    @Option(
+            names = "--give-up",
+            paramLabel = "DUTY",
             description = "Has the agent give it up, if it holds it.")
     private String giveUp;
-    @Option(names = "--to", paramLabel = "NAME", description = "The member that should have it then.")
+
+    @Option(
+            names = "--to",
+            paramLabel = "NAME",
+            description = "The member that should have it then.")
     private String to;
 
-    @Option(names = "--found", description = "Once, at each voter, when the first voters are founded: lets "
-            + "it vote although its disk remembers nothing.")
+    @Option(
+            names = "--found",
+            description =
+                    "Once, at each voter, when the first voters are founded: lets "
+                            + "it vote although its disk remembers nothing.")
     private boolean found;
 
     @Override
@@ -51,18 +63,32 @@
         for (Object each : (List<?>) answer.get("candidate")) {
             Map<?, ?> one = (Map<?, ?>) each;
             boolean holds = ((Number) one.get("left_ms")).longValue() > 0;
-            out.printf("%-16s %-10s %10s %8sms  %s%n", one.get("duty"), holds ? "holder" : "candidate",
-                    one.get("term"), one.get("left_ms"), holds ? answer.get("self") : "");
+            out.printf(
+                    "%-16s %-10s %10s %8sms  %s%n",
+                    one.get("duty"),
+                    holds ? "holder" : "candidate",
+                    one.get("term"),
+                    one.get("left_ms"),
+                    holds ? answer.get("self") : "");
         }
         for (Object each : (List<?>) answer.get("promised")) {
             Map<?, ?> one = (Map<?, ?>) each;
-            out.printf("%-16s %-10s %10s %8sms  %s%n", one.get("duty"), "voter", one.get("term"),
-                    one.get("bound_ms"), one.get("holder"));
+            out.printf(
+                    "%-16s %-10s %10s %8sms  %s%n",
+                    one.get("duty"),
+                    "voter",
+                    one.get("term"),
+                    one.get("bound_ms"),
+                    one.get("holder"));
         }
-        String vote = !Boolean.TRUE.equals(answer.get("voter")) ? "no voter"
-                : Boolean.TRUE.equals(answer.get("votes")) ? "a voter"
-                : "a voter that does not vote, as its disk remembers nothing";
-        out.printf("%nself %s, %s, voters %s of epoch %s%n", answer.get("self"), vote, answer.get("voters"),
-                answer.get("epoch"));
+        String vote =
+                !Boolean.TRUE.equals(answer.get("voter"))
+                        ? "no voter"
+                        : Boolean.TRUE.equals(answer.get("votes"))
+                                ? "a voter"
+                                : "a voter that does not vote, as its disk remembers nothing";
+        out.printf(
+                "%nself %s, %s, voters %s of epoch %s%n",
+                answer.get("self"), vote, answer.get("voters"), answer.get("epoch"));
     }
 }
--- a/src/main/java/passhatch/cli/MembersCommand.java
+++ b/src/main/java/passhatch/cli/MembersCommand.java
@@ -12,16 +12,16 @@
 import picocli.CommandLine.Spec;
 
 /** The command {@code members}: asks a running agent. */
-@Command(name = "members", mixinStandardHelpOptions = true,
+@Command(
+        name = "members",
+        mixinStandardHelpOptions = true,
         description = "Shows the members of the fleet as an agent sees them.")
 final class MembersCommand implements Callable<Integer> {
 
     private static final String ROW = "%-24s %-8s %-20s %-10s %-16s %10s  %s%n";
 
-    @Spec
-    private CommandSpec spec;
-    @Mixin
-    private AgentCall agent;
+    @Spec private CommandSpec spec;
+    @Mixin private AgentCall agent;
 
     @Override
     public Integer call() throws IOException {
@@ -33,22 +33,37 @@
         out.printf(ROW, "MEMBER", "STATUS", "INCARNATION", "VERSION", "ROLES", "SINCE", "ADDRESS");
         for (Object each : (List<?>) answer.get("members")) {
             Map<?, ?> member = (Map<?, ?>) each;
-            out.printf(ROW, member.get("name"), member.get("status"), member.get("incarnation"),
-                    member.get("version"), member.get("roles"), ago((Number) member.get("for_ms")),
+            out.printf(
+                    ROW,
+                    member.get("name"),
+                    member.get("status"),
+                    member.get("incarnation"),
+                    member.get("version"),
+                    member.get("roles"),
+                    ago((Number) member.get("for_ms")),
                     member.get("address"));
         }
         boolean givenWay = Boolean.TRUE.equals(answer.get("given_way"));
-        out.printf("%nself %s%s, local health %s (0 is well, 8 is worst), held up %s times%n",
-                answer.get("self"), givenWay ? " (gave way to a newer process of this name)" : "",
-                answer.get("local_health"), answer.get("held_up"));
-        out.printf("datagrams: %s in, %s out (%s bytes), dropped %s%n", answer.get("received"),
-                answer.get("sent"), answer.get("sent_bytes"), answer.get("dropped"));
+        out.printf(
+                "%nself %s%s, local health %s (0 is well, 8 is worst), held up %s times%n",
+                answer.get("self"),
+                givenWay ? " (gave way to a newer process of this name)" : "",
+                answer.get("local_health"),
+                answer.get("held_up"));
+        out.printf(
+                "datagrams: %s in, %s out (%s bytes), dropped %s%n",
+                answer.get("received"),
+                answer.get("sent"),
+                answer.get("sent_bytes"),
+                answer.get("dropped"));
     }
 
     private static String ago(Number ms) {
         Duration time = Duration.ofMillis(ms.longValue());
-        return time.toHours() > 0 ? time.toHours() + "h" + time.toMinutesPart() + "m"
-                : time.toMinutes() > 0 ? time.toMinutes() + "m" + time.toSecondsPart() + "s"
-                : time.toSeconds() + "s";
+        return time.toHours() > 0
+                ? time.toHours() + "h" + time.toMinutesPart() + "m"
+                : time.toMinutes() > 0
+                        ? time.toMinutes() + "m" + time.toSecondsPart() + "s"
+                        : time.toSeconds() + "s";
     }
 }
--- a/src/main/java/passhatch/cli/StoreCommand.java
+++ b/src/main/java/passhatch/cli/StoreCommand.java
@@ -21,20 +21,26 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** The command {@code store} with what belongs to it. A folder that a process has is not looked at. */
-@Command(name = "store", mixinStandardHelpOptions = true,
+/**
+ * The command {@code store} with what belongs to it. A folder that a process has is not looked at.
+ */
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
         description = "Looks at what a process keeps on disk; docs/recovery.md says more.")
 final class StoreCommand extends CommandGroup {
 
     static CommandLine line() {
-        return new CommandLine(new StoreCommand()).addSubcommand(new Verify()).addSubcommand(new Dump())
+        return new CommandLine(new StoreCommand())
+                .addSubcommand(new Verify())
+                .addSubcommand(new Dump())
                 .addSubcommand(new Salvage());
     }
 
     /** One that looks at a folder and leaves it as it is. */
     private abstract static class Look implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        @Spec private CommandSpec spec;
+
         @Parameters(paramLabel = "DIR")
         private Path folder;
 
@@ -56,25 +62,36 @@
     }
 
     private static int tell(Inspection.Report report, PrintWriter out) {
-        out.println(report.records() + " records, the last is " + report.last() + ", epoch "
-                + report.epoch());
+        out.println(
+                report.records()
+                        + " records, the last is "
+                        + report.last()
+                        + ", epoch "
+                        + report.epoch());
         report.notes().forEach(n -> out.println("note: " + n));
         report.damage().forEach(d -> out.println("DAMAGED: " + d));
         out.flush();
         return report.damage().isEmpty() ? 0 : Commands.FAILED;
     }
 
-    @Command(name = "verify", mixinStandardHelpOptions = true,
-            description = "Reads all of a store and changes nothing; exit code 1 where something is damaged.")
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Reads all of a store and changes nothing; exit code 1 where something is"
+                            + " damaged.")
     private static final class Verify extends Look {
         @Override
         int look(FolderDisk disk, CommandLine line) throws StoreException {
-            return tell(Inspection.inspect(disk, entry -> { }), line.getOut());
+            return tell(Inspection.inspect(disk, entry -> {}), line.getOut());
         }
     }
 
-    @Command(name = "dump", mixinStandardHelpOptions = true,
-            description = "Writes each record that can be read as a line of JSON, its bytes in Base64.")
+    @Command(
+            name = "dump",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Writes each record that can be read as a line of JSON, its bytes in Base64.")
     private static final class Dump extends Look {
         @Override
         int look(FolderDisk disk, CommandLine line) throws StoreException {
@@ -96,15 +113,20 @@
         }
     }
 
-    @Command(name = "salvage", mixinStandardHelpOptions = true,
-            description = "Brings what can be read to a new folder; the damaged one stays as it is.")
+    @Command(
+            name = "salvage",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Brings what can be read to a new folder; the damaged one stays as it is.")
     private static final class Salvage implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        @Spec private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "DIR")
         private Path folder;
+
         @Parameters(index = "1", paramLabel = "TO", description = "A folder that is not there yet.")
         private Path to;
+
         @Option(names = "--owner", required = true, description = "Whose the new store is.")
         private String owner;
 
@@ -113,7 +135,8 @@
             if (Files.exists(to)) {
                 throw new BadInput(to + ": is there already");
             }
-            try (FolderDisk from = take(folder); FolderDisk disk = FolderDisk.take(to)) {
+            try (FolderDisk from = take(folder);
+                    FolderDisk disk = FolderDisk.take(to)) {
                 return tell(Inspection.salvage(from, disk, owner), spec.commandLine().getOut());
             }
         }
--- a/src/main/java/passhatch/duty/Candidate.java
+++ b/src/main/java/passhatch/duty/Candidate.java
@@ -5,21 +5,33 @@
 import java.util.random.RandomGenerator;
 
 /**
- * One process that wants one duty. It holds it once more than half of the voters have granted its term, until
- * a lease after it asked them, less what clocks may drift, and asks again well before that. For one thread;
- * the clock passed in must not go back, and runs on while the process is held.
+ * One process that wants one duty. It holds it once more than half of the voters have granted its
+ * term, until a lease after it asked them, less what clocks may drift, and asks again well before
+ * that. For one thread; the clock passed in must not go back, and runs on while the process is
+ * held.
  */
 public class Candidate {
 
     /** Askings in a lease: two may get lost. */
     private static final int ASKS_A_LEASE = 4;
+
     /** The shortest wait after an asking that came to nothing, as a part of a lease. */
     private static final int SHORTEST_WAIT = 32;
-    /** Asked so often at once after another gave the duty up; its word may reach voters a little later. */
+
+    /**
+     * Asked so often at once after another gave the duty up; its word may reach voters a little
+     * later.
+     */
     private static final int TRIES_TO_TAKE = 20;
+
     private static final int TAKE_AGAIN = 256;
 
-    private enum Phase { IDLE, WAITING, ASKING, HOLDING }
+    private enum Phase {
+        IDLE,
+        WAITING,
+        ASKING,
+        HOLDING
+    }
 
     private final DutySettings settings;
     private final String duty;
@@ -46,7 +58,12 @@
      * @param holder its name and its life, unlike that of any other process or start
      * @param rank 0 for those that should have the duty rather than others; each more waits longer
      */
-    public Candidate(DutySettings settings, String duty, String holder, int rank, RandomGenerator random,
+    public Candidate(
+            DutySettings settings,
+            String duty,
+            String holder,
+            int rank,
+            RandomGenerator random,
             DutyActions actions) {
         this.settings = settings;
         this.duty = duty;
@@ -201,9 +218,12 @@
             phase = Phase.WAITING;
             wakeAtUs = nowUs + settings.leaseUs() / TAKE_AGAIN;
         } else {
-            // Where another has it there is a time to come back; only a split vote asks for more patience.
-            waitUs = boundUs > 0 ? settings.leaseUs() / SHORTEST_WAIT
-                    : Math.min(2 * waitUs, settings.leaseUs());
+            // Where another has it there is a time to come back; only a split vote asks for more
+            // patience.
+            waitUs =
+                    boundUs > 0
+                            ? settings.leaseUs() / SHORTEST_WAIT
+                            : Math.min(2 * waitUs, settings.leaseUs());
             waitAndAsk(nowUs, boundUs);
         }
     }
@@ -255,13 +275,25 @@
 
     /** How a voter has answered what was asked last; null where it has not. */
     public DutyMessage.Kind answerOf(String voter) {
-        return granted.contains(voter) ? DutyMessage.Kind.GRANT
+        return granted.contains(voter)
+                ? DutyMessage.Kind.GRANT
                 : refused.contains(voter) ? DutyMessage.Kind.REFUSAL : null;
     }
 
     @Override
     public String toString() {
-        return phase + " term " + term + " round " + round + " granted " + granted.size() + " seen "
-                + greatestSeen + " tries " + triesToTake + " bound " + boundUs;
+        return phase
+                + " term "
+                + term
+                + " round "
+                + round
+                + " granted "
+                + granted.size()
+                + " seen "
+                + greatestSeen
+                + " tries "
+                + triesToTake
+                + " bound "
+                + boundUs;
     }
 }
--- a/src/main/java/passhatch/duty/DutyCodec.java
+++ b/src/main/java/passhatch/duty/DutyCodec.java
@@ -15,16 +15,18 @@
 
     /** The format's byte. */
     public static final byte FORMAT = 2;
+
     /** Characters of a holder, which is a member's name, a colon and its life, at most. */
     private static final int MOST_HOLDER = Names.MOST_NAME + 20;
+
     private static final int FIELDS = 9;
     private static final DutyMessage.Kind[] KINDS = DutyMessage.Kind.values();
     private static final CBORFactory CBOR = new CBORFactory();
 
     /** A message and who sent it; or why there is none. */
-    public record Read(String from, DutyMessage message, Drop fault) { }
+    public record Read(String from, DutyMessage message, Drop fault) {}
 
-    private DutyCodec() { }
+    private DutyCodec() {}
 
     /** As a datagram from one member of a fleet. */
     public static byte[] encode(String fleet, String from, DutyMessage m) {
@@ -70,8 +72,11 @@
             String holder = cbor.text();
             CborReader.require(!holder.isEmpty() && holder.length() <= MOST_HOLDER);
             long waitUs = cbor.number(0, Long.MAX_VALUE);
-            return new Read(from, new DutyMessage(KINDS[(int) kind], epoch, duty, term, (int) round, holder,
-                    waitUs), null);
+            return new Read(
+                    from,
+                    new DutyMessage(
+                            KINDS[(int) kind], epoch, duty, term, (int) round, holder, waitUs),
+                    null);
         } catch (IOException bad) {
             return new Read(null, null, Drop.FORM);
         }
--- a/src/main/java/passhatch/duty/DutyMessage.java
+++ b/src/main/java/passhatch/duty/DutyMessage.java
@@ -4,13 +4,14 @@
  * What candidates and voters say to each other.
  *
  * @param epoch of the configuration that the sender has
- * @param term asked for, granted, or given back; of a refusal the greatest that the voter has promised
+ * @param term asked for, granted, or given back; of a refusal the greatest that the voter has
+ *     promised
  * @param round of the asking that is meant; an answer repeats it
  * @param holder the candidate with its life, for whom this is
  * @param waitUs of a refusal: so long, in microseconds, the voter is bound to another holder
  */
-public record DutyMessage(Kind kind, long epoch, String duty, long term, int round, String holder,
-        long waitUs) {
+public record DutyMessage(
+        Kind kind, long epoch, String duty, long term, int round, String holder, long waitUs) {
 
     /** What is said. */
     public enum Kind {
--- a/src/main/java/passhatch/duty/Fence.java
+++ b/src/main/java/passhatch/duty/Fence.java
@@ -5,9 +5,9 @@
 import java.util.function.BiPredicate;
 
 /**
- * What carries out holders' words: it keeps the highest token of each duty, on disk before it is believed,
- * and refuses a lower one. So nothing older is done after something newer, whatever holders think of their
- * leases.
+ * What carries out holders' words: it keeps the highest token of each duty, on disk before it is
+ * believed, and refuses a lower one. So nothing older is done after something newer, whatever
+ * holders think of their leases.
  */
 public final class Fence {
 
--- a/src/main/java/passhatch/duty/Promise.java
+++ b/src/main/java/passhatch/duty/Promise.java
@@ -8,7 +8,8 @@
 public record Promise(String duty, long term, String holder) {
 
     /**
-     * That a voter votes, which is itself on its disk: without it the voter may have forgotten promises.
+     * That a voter votes, which is itself on its disk: without it the voter may have forgotten
+     * promises.
      *
      * @param floor terms up to this may have been granted by the voter, of any duty; 0 or more
      */
--- a/src/main/java/passhatch/duty/Voter.java
+++ b/src/main/java/passhatch/duty/Voter.java
@@ -6,9 +6,10 @@
 import java.util.function.Predicate;
 
 /**
- * One voter. It grants a term of a duty to one holder, after that is on disk, and then no other term for the
- * time of a lease on its own clock (leases after Gray, Cheriton, 1989; a majority of them as in Paxos; tokens
- * as in Chubby, Burrows, 2006). For one thread; the clock passed in must not go back.
+ * One voter. It grants a term of a duty to one holder, after that is on disk, and then no other
+ * term for the time of a lease on its own clock (leases after Gray, Cheriton, 1989; a majority of
+ * them as in Paxos; tokens as in Chubby, Burrows, 2006). For one thread; the clock passed in must
+ * not go back.
  */
 public class Voter {
 
@@ -30,20 +31,28 @@
     private final DutySettings settings;
     private final Predicate<Promise> disk;
     private final Map<String, Lease> leases = new HashMap<>();
+
     /** What the others told of their terms, while it does not vote. */
     private final Map<String, Long> recalled = new HashMap<>();
+
     private boolean votes;
     private long floor;
     private long votesFromUs = Long.MAX_VALUE;
 
     /**
-     * A voter that starts. Without {@link Promise#toVote} on its disk it has forgotten, or never voted: it
-     * says nothing until it was founded, or has heard from the others what may have been granted.
+     * A voter that starts. Without {@link Promise#toVote} on its disk it has forgotten, or never
+     * voted: it says nothing until it was founded, or has heard from the others what may have been
+     * granted.
      *
      * @param promises the last of each duty that its disk has
-     * @param disk has a promise on disk for good when it returns true; false where it may not be there
+     * @param disk has a promise on disk for good when it returns true; false where it may not be
+     *     there
      */
-    public Voter(DutySettings settings, long nowUs, Collection<Promise> promises, Predicate<Promise> disk) {
+    public Voter(
+            DutySettings settings,
+            long nowUs,
+            Collection<Promise> promises,
+            Predicate<Promise> disk) {
         this.settings = settings;
         this.disk = disk;
         for (Promise promise : promises) {
@@ -57,7 +66,8 @@
     }
 
     /**
-     * Until when it is bound to the holder on its disk, as it does not know what it renewed before it ended.
+     * Until when it is bound to the holder on its disk, as it does not know what it renewed before
+     * it ended.
      */
     protected long boundAfterStartUs(long nowUs) {
         return nowUs + settings.leaseUs();
@@ -74,8 +84,8 @@
     }
 
     /**
-     * Begins to vote without a memory. Only for voters that never voted: an operator says so, once, when the
-     * first set of voters is founded.
+     * Begins to vote without a memory. Only for voters that never voted: an operator says so, once,
+     * when the first set of voters is founded.
      *
      * @return false where it votes already, or its disk fails
      */
@@ -99,12 +109,14 @@
 
     /** What to send to all other voters now and then as long as it does not vote. */
     public DutyMessage recall() {
-        return new DutyMessage(DutyMessage.Kind.RECALL, settings.epoch(), RECALLED, 1, 0, RECALLED, 0);
+        return new DutyMessage(
+                DutyMessage.Kind.RECALL, settings.epoch(), RECALLED, 1, 0, RECALLED, 0);
     }
 
     /**
-     * More than half of all voters, itself not counted, share one with every majority that it may have been
-     * part of: so it is told each term that was held. What it granted itself is over one lease later.
+     * More than half of all voters, itself not counted, share one with every majority that it may
+     * have been part of: so it is told each term that was held. What it granted itself is over one
+     * lease later.
      */
     private void terms(long nowUs, String from, long term) {
         if (votes || !settings.voters().contains(from)) {
@@ -120,7 +132,8 @@
     }
 
     private long greatest() {
-        return Math.max(floor, leases.values().stream().mapToLong(l -> l.promise.term()).max().orElse(0));
+        return Math.max(
+                floor, leases.values().stream().mapToLong(l -> l.promise.term()).max().orElse(0));
     }
 
     /** Answers a candidate or another voter; null where there is nothing to say. */
@@ -149,7 +162,8 @@
         Lease lease = leases.get(asked.duty());
         if (lease != null) {
             Promise promised = lease.promise;
-            boolean renewal = promised.term() == asked.term() && promised.holder().equals(asked.holder());
+            boolean renewal =
+                    promised.term() == asked.term() && promised.holder().equals(asked.holder());
             if (renewal) {
                 if (lease.released) {
                     return asked.answer(DutyMessage.Kind.REFUSAL, promised.term(), 0);
@@ -159,7 +173,9 @@
             }
             boolean bound = !lease.released && nowUs < lease.untilUs;
             if (bound || !isNewer(asked.term(), promised)) {
-                return asked.answer(DutyMessage.Kind.REFUSAL, promised.term(),
+                return asked.answer(
+                        DutyMessage.Kind.REFUSAL,
+                        promised.term(),
                         bound ? lease.untilUs - nowUs : 0);
             }
         }
@@ -176,7 +192,8 @@
 
     private void release(DutyMessage message) {
         Lease lease = leases.get(message.duty());
-        if (lease != null && lease.promise.term() == message.term()
+        if (lease != null
+                && lease.promise.term() == message.term()
                 && lease.promise.holder().equals(message.holder())) {
             lease.released = true;
         }
--- a/src/main/java/passhatch/fleet/AntiEntropy.java
+++ b/src/main/java/passhatch/fleet/AntiEntropy.java
@@ -6,13 +6,17 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Brings views together that news did not: two processes compare digests from the root downwards and tell
- * each other what is at the leaves where they differ. Each answer follows from the one datagram it answers.
+ * Brings views together that news did not: two processes compare digests from the root downwards
+ * and tell each other what is at the leaves where they differ. Each answer follows from the one
+ * datagram it answers.
  */
 final class AntiEntropy {
 
-    /** Children that are followed up at a time, so that one datagram does not bring hundreds back. */
+    /**
+     * Children that are followed up at a time, so that one datagram does not bring hundreds back.
+     */
     private static final int MOST_CHILDREN = 4;
+
     /** Comparisons in quick order after one that found a difference: some datagrams get lost. */
     private static final int EAGER = 8;
 
@@ -27,7 +31,10 @@
         this.random = random;
     }
 
-    /** Begins with one member; returns whether to do so again soon, as a difference was found lately. */
+    /**
+     * Begins with one member; returns whether to do so again soon, as a difference was found
+     * lately.
+     */
     boolean begin(Member with) {
         outbox.sync(with.address(), Digests.ROOT, view.digests().children(Digests.ROOT));
         eager = Math.max(0, eager - 1);
@@ -71,9 +78,14 @@
     private List<Fact> facts(int leaf, List<Fact> but) {
         List<Fact> facts = new ArrayList<>();
         for (Member member : view.leaf(leaf)) {
-            boolean same = but.stream().anyMatch(f -> f.name().equals(member.name())
-                    && f.incarnation().equals(member.fact().incarnation())
-                    && f.status() == member.status());
+            boolean same =
+                    but.stream()
+                            .anyMatch(
+                                    f ->
+                                            f.name().equals(member.name())
+                                                    && f.incarnation()
+                                                            .equals(member.fact().incarnation())
+                                                    && f.status() == member.status());
             if (!same) {
                 // Drawn order: where not all fit, each comes at some time.
                 facts.add(random.nextInt(facts.size() + 1), member.fact());
--- a/src/main/java/passhatch/fleet/Beliefs.java
+++ b/src/main/java/passhatch/fleet/Beliefs.java
@@ -6,22 +6,32 @@
 import java.util.stream.IntStream;
 
 /**
- * Which statement about a member holds: the newer one, by {@link Fact#overrules}; what is said of this
- * process itself is refuted. Owns the view and the times after which suspects have failed (SWIM with
- * Lifeguard's suspicion: the more have found it silent independently, the shorter it may stay silent).
+ * Which statement about a member holds: the newer one, by {@link Fact#overrules}; what is said of
+ * this process itself is refuted. Owns the view and the times after which suspects have failed
+ * (SWIM with Lifeguard's suspicion: the more have found it silent independently, the shorter it may
+ * stay silent).
  */
 final class Beliefs {
 
     /** The shortest suspicion: so many periods times the logarithm of the fleet's size. */
     private static final double SHORTEST = 2;
+
     /** The longest one, beside the shortest. */
     private static final double LONGEST = 6;
+
     /** Accusers after the first, with whom it is shortest. */
     private static final int CONFIRMATIONS = Fact.MOST_ACCUSERS - 1;
+
     /** As if as many as count had accused. */
-    private static final List<Integer> ALL_ACCUSERS = IntStream.range(0, Fact.MOST_ACCUSERS).boxed().toList();
-    /** Suspects are looked at so often, as a share of a period: their times change with all that is heard. */
+    private static final List<Integer> ALL_ACCUSERS =
+            IntStream.range(0, Fact.MOST_ACCUSERS).boxed().toList();
+
+    /**
+     * Suspects are looked at so often, as a share of a period: their times change with all that is
+     * heard.
+     */
     private static final double LOOK_EVERY = 0.2;
+
     /** Two processes that claim one name are told of so often at most. */
     private static final long NOTE_EVERY_US = 10_000_000;
 
@@ -36,8 +46,14 @@
     private long notedUs = Long.MIN_VALUE / 2;
 
     /** {@code rumour} hears of a member that others have found silent. */
-    Beliefs(FleetSettings settings, Self self, View view, Outbox outbox, LocalHealth health,
-            FleetActions actions, Consumer<Member> rumour) {
+    Beliefs(
+            FleetSettings settings,
+            Self self,
+            View view,
+            Outbox outbox,
+            LocalHealth health,
+            FleetActions actions,
+            Consumer<Member> rumour) {
         this.self = self;
         this.view = view;
         this.outbox = outbox;
@@ -61,9 +77,11 @@
         }
         Fact known = member.fact();
         if (told.overrules(known)) {
-            // That others took it for failed is hearsay where it was heard of as alive: it may have missed
+            // That others took it for failed is hearsay where it was heard of as alive: it may have
+            // missed
             // the accusation, as across a partition that has healed, so it gets the time to refute.
-            boolean hearsay = told.status() == Status.FAILED && known.status() == Status.ALIVE && !own;
+            boolean hearsay =
+                    told.status() == Status.FAILED && known.status() == Status.ALIVE && !own;
             set(nowUs, member, hearsay ? suspicion(told, ALL_ACCUSERS) : told);
             if (member.status() == Status.SUSPECT) {
                 rumour.accept(member);
@@ -71,8 +89,10 @@
         } else if (told.incarnation().equals(known.incarnation())) {
             if (told.status() == Status.SUSPECT && known.status() == Status.SUSPECT) {
                 confirm(nowUs, member, told.accusers());
-            } else if (told.status() == Status.ALIVE && known.status() == Status.ALIVE
-                    && known.version().isEmpty() && !told.version().isEmpty()) {
+            } else if (told.status() == Status.ALIVE
+                    && known.status() == Status.ALIVE
+                    && known.version().isEmpty()
+                    && !told.version().isEmpty()) {
                 view.change(member, told, nowUs);
             }
         }
@@ -105,17 +125,26 @@
                 if (told.status() == Status.SUSPECT || told.status() == Status.FAILED) {
                     health.worse(1);
                 }
-                claim(nowUs, new Incarnation(mine.epoch(), mine.life(),
-                        told.incarnation().refutation() + 1));
+                claim(
+                        nowUs,
+                        new Incarnation(
+                                mine.epoch(), mine.life(), told.incarnation().refutation() + 1));
             }
         } else if (newer > 0 && !self.leaving()) {
             if (told.status().present()) {
                 self.givenWay(true);
-                actions.note("another process is " + self.name() + " with the newer incarnation "
-                        + told.incarnation() + ", so this one (" + mine + ") gives way");
+                actions.note(
+                        "another process is "
+                                + self.name()
+                                + " with the newer incarnation "
+                                + told.incarnation()
+                                + ", so this one ("
+                                + mine
+                                + ") gives way");
                 set(nowUs, view.get(self.name()), told);
             } else {
-                // An earlier run of this process whose epoch was lost, as on a machine set back to a
+                // An earlier run of this process whose epoch was lost, as on a machine set back to
+                // a
                 // snapshot.
                 takeOver(nowUs, told);
             }
@@ -129,8 +158,14 @@
     void rival(long nowUs, Fact sender, int address) {
         if (nowUs - notedUs >= NOTE_EVERY_US) {
             notedUs = nowUs;
-            actions.note("another process, at address " + address + " of the list, is " + sender.name()
-                    + " with the older incarnation " + sender.incarnation() + ", and has to give way");
+            actions.note(
+                    "another process, at address "
+                            + address
+                            + " of the list, is "
+                            + sender.name()
+                            + " with the older incarnation "
+                            + sender.incarnation()
+                            + ", and has to give way");
         }
     }
 
@@ -146,8 +181,13 @@
         if (actions.claim(epoch)) {
             self.givenWay(false);
             claim(nowUs, new Incarnation(epoch, self.incarnation().life(), 0));
-            actions.note("an earlier run of " + self.name() + " (" + ended.incarnation()
-                    + ") was still known, so this one goes on as " + self.incarnation());
+            actions.note(
+                    "an earlier run of "
+                            + self.name()
+                            + " ("
+                            + ended.incarnation()
+                            + ") was still known, so this one goes on as "
+                            + self.incarnation());
         }
     }
 
@@ -203,8 +243,14 @@
         lookedUs = nowUs;
         for (Member member : List.copyOf(view.suspects())) {
             if (nowUs >= deadlineUs(member)) {
-                set(nowUs, member, Fact.of(Status.FAILED, member.name(), member.fact().incarnation(),
-                        member.fact().number()));
+                set(
+                        nowUs,
+                        member,
+                        Fact.of(
+                                Status.FAILED,
+                                member.name(),
+                                member.fact().incarnation(),
+                                member.fact().number()));
                 if (member.name().equals(self.name())) {
                     takeBack(nowUs, member);
                 }
@@ -214,7 +260,9 @@
 
     /** When suspects are looked at next; {@link Long#MAX_VALUE} where there are none. */
     long nextUs() {
-        return view.suspects().isEmpty() ? Long.MAX_VALUE : lookedUs + (long) (LOOK_EVERY * periodUs);
+        return view.suspects().isEmpty()
+                ? Long.MAX_VALUE
+                : lookedUs + (long) (LOOK_EVERY * periodUs);
     }
 
     private long deadlineUs(Member suspect) {
--- a/src/main/java/passhatch/fleet/CborReader.java
+++ b/src/main/java/passhatch/fleet/CborReader.java
@@ -4,7 +4,10 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 
-/** Reads a datagram's fields one after the other; what is not as it has to be is an {@link IOException}. */
+/**
+ * Reads a datagram's fields one after the other; what is not as it has to be is an {@link
+ * IOException}.
+ */
 public final class CborReader {
 
     private final JsonParser cbor;
--- a/src/main/java/passhatch/fleet/Codec.java
+++ b/src/main/java/passhatch/fleet/Codec.java
@@ -10,9 +10,9 @@
 import java.util.List;
 
 /**
- * Datagrams as bytes: a version, a CRC32C of the rest, and the rest as a CBOR array. Within a version fields
- * may be added at the end of an array, and who does not know them passes over them, so that two versions of
- * the program can live together.
+ * Datagrams as bytes: a version, a CRC32C of the rest, and the rest as a CBOR array. Within a
+ * version fields may be added at the end of an array, and who does not know them passes over them,
+ * so that two versions of the program can live together.
  */
 final class Codec {
 
@@ -51,19 +51,34 @@
     /** Bytes that a message takes without its facts, at most. */
     int sizeWithoutFacts(Message m) {
         // Two for the head of the list of facts, where there are 24 or more.
-        return Frame.HEAD + 1 + text(fleet) + 1 + number(m.number()) + text(m.target()) + number(m.node())
-                + (m.digests().length == 0 ? 1 : 2 + 4 * m.digests().length) + size(m.sender()) + 2;
+        return Frame.HEAD
+                + 1
+                + text(fleet)
+                + 1
+                + number(m.number())
+                + text(m.target())
+                + number(m.node())
+                + (m.digests().length == 0 ? 1 : 2 + 4 * m.digests().length)
+                + size(m.sender())
+                + 2;
     }
 
     /** Bytes that a fact takes. */
     static int size(Fact f) {
-        int size = 1 + 1 + text(f.name()) + number(f.incarnation().epoch()) + number(f.incarnation().life())
-                + number(f.incarnation().refutation()) + number(f.number());
-        return size + switch (f.status()) {
-            case ALIVE, LEFT -> text(f.version()) + text(f.roles());
-            case SUSPECT -> 1 + 2 * f.accusers().size();
-            case FAILED -> 0;
-        };
+        int size =
+                1
+                        + 1
+                        + text(f.name())
+                        + number(f.incarnation().epoch())
+                        + number(f.incarnation().life())
+                        + number(f.incarnation().refutation())
+                        + number(f.number());
+        return size
+                + switch (f.status()) {
+                    case ALIVE, LEFT -> text(f.version()) + text(f.roles());
+                    case SUSPECT -> 1 + 2 * f.accusers().size();
+                    case FAILED -> 0;
+                };
     }
 
     private static int text(String text) {
@@ -72,8 +87,9 @@
 
     private static int number(long value) {
         long magnitude = value < 0 ? ~value : value;
-        return magnitude < 24 ? 1 : magnitude < 1L << 8 ? 2 : magnitude < 1L << 16 ? 3
-                : magnitude < 1L << 32 ? 5 : 9;
+        return magnitude < 24
+                ? 1
+                : magnitude < 1L << 8 ? 2 : magnitude < 1L << 16 ? 3 : magnitude < 1L << 32 ? 5 : 9;
     }
 
     byte[] encode(Message m) {
@@ -148,7 +164,9 @@
         String target = cbor.text();
         CborReader.require(target.isEmpty() || Names.isName(target));
         boolean sync = kind == Message.Kind.SYNC;
-        int node = cbor.integer(sync ? Digests.ROOT : 0, (sync ? Digests.CHILDREN : Digests.LEAVES) - 1);
+        int node =
+                cbor.integer(
+                        sync ? Digests.ROOT : 0, (sync ? Digests.CHILDREN : Digests.LEAVES) - 1);
         byte[] digestBytes = cbor.binary();
         CborReader.require(digestBytes.length == (sync ? Integer.BYTES * Digests.CHILDREN : 0));
         int[] digests = new int[digestBytes.length / Integer.BYTES];
@@ -171,15 +189,19 @@
         Status status = STATUSES[cbor.integer(0, STATUSES.length - 1)];
         String name = cbor.text();
         CborReader.require(Names.isName(name));
-        Incarnation incarnation = new Incarnation(cbor.number(0, Long.MAX_VALUE),
-                cbor.integer(Integer.MIN_VALUE, Integer.MAX_VALUE), cbor.integer(0, Integer.MAX_VALUE));
+        Incarnation incarnation =
+                new Incarnation(
+                        cbor.number(0, Long.MAX_VALUE),
+                        cbor.integer(Integer.MIN_VALUE, Integer.MAX_VALUE),
+                        cbor.integer(0, Integer.MAX_VALUE));
         int number = cbor.integer(-1, Integer.MAX_VALUE);
         List<Integer> accusers = new ArrayList<>();
         String version = "";
         String roles = "";
         if (status == Status.SUSPECT) {
             ByteBuffer hashes = ByteBuffer.wrap(cbor.binary());
-            CborReader.require(hashes.remaining() % 2 == 0 && hashes.remaining() <= 2 * Fact.MOST_ACCUSERS);
+            CborReader.require(
+                    hashes.remaining() % 2 == 0 && hashes.remaining() <= 2 * Fact.MOST_ACCUSERS);
             while (hashes.hasRemaining()) {
                 accusers.add((int) hashes.getShort());
             }
--- a/src/main/java/passhatch/fleet/Digests.java
+++ b/src/main/java/passhatch/fleet/Digests.java
@@ -1,9 +1,9 @@
 package passhatch.fleet;
 
 /**
- * Digests of a view as a tree of a root, 16 inner nodes and 256 leaves, so that two processes find where they
- * differ in a few datagrams (Merkle trees for anti-entropy as in Demers et al., "Epidemic Algorithms for
- * Replicated Database Maintenance", 1987, and Dynamo).
+ * Digests of a view as a tree of a root, 16 inner nodes and 256 leaves, so that two processes find
+ * where they differ in a few datagrams (Merkle trees for anti-entropy as in Demers et al.,
+ * "Epidemic Algorithms for Replicated Database Maintenance", 1987, and Dynamo).
  *
  * <p>Suspicion is left out: it comes and goes faster than digests are compared.
  */
@@ -11,6 +11,7 @@
 
     static final int CHILDREN = 16;
     static final int LEAVES = CHILDREN * CHILDREN;
+
     /** The root's number as a node. */
     static final int ROOT = -1;
 
@@ -27,8 +28,13 @@
     void toggle(Fact fact) {
         Status told = fact.status() == Status.SUSPECT ? Status.ALIVE : fact.status();
         int digest = Names.hash(fact.name());
-        for (long part : new long[] {fact.incarnation().epoch(), fact.incarnation().life(),
-                fact.incarnation().refutation(), told.ordinal()}) {
+        for (long part :
+                new long[] {
+                    fact.incarnation().epoch(),
+                    fact.incarnation().life(),
+                    fact.incarnation().refutation(),
+                    told.ordinal()
+                }) {
             digest = mix(digest, Long.hashCode(part));
         }
         leaves[leaf(fact.name())] ^= digest;
--- a/src/main/java/passhatch/fleet/FleetActions.java
+++ b/src/main/java/passhatch/fleet/FleetActions.java
@@ -7,8 +7,8 @@
     void send(int address, byte[] datagram);
 
     /**
-     * Makes this epoch durable. It is used only if this returns true, and then no start may ever use it
-     * again.
+     * Makes this epoch durable. It is used only if this returns true, and then no start may ever
+     * use it again.
      */
     boolean claim(long epoch);
 
--- a/src/main/java/passhatch/fleet/FleetSettings.java
+++ b/src/main/java/passhatch/fleet/FleetSettings.java
@@ -1,8 +1,8 @@
 package passhatch.fleet;
 
 /**
- * How one process takes part in a fleet. Other processes' addresses are known here by their place in the
- * configured list only, from 0; what stands there is the driver's business.
+ * How one process takes part in a fleet. Other processes' addresses are known here by their place
+ * in the configured list only, from 0; what stands there is the driver's business.
  *
  * @param fleet its name; datagrams of others are dropped
  * @param name this process's, the same after a restart and unlike all others'
@@ -14,12 +14,28 @@
  * @param bytesPerSecond that are sent at most
  * @param forgetAfterUs how long one that failed or left is still shown, in microseconds
  */
-public record FleetSettings(String fleet, String name, String version, String roles, int ownNumber,
-        int addresses, long periodUs, long bytesPerSecond, long forgetAfterUs) {
+public record FleetSettings(
+        String fleet,
+        String name,
+        String version,
+        String roles,
+        int ownNumber,
+        int addresses,
+        long periodUs,
+        long bytesPerSecond,
+        long forgetAfterUs) {
 
     /** The same with another list. */
     FleetSettings withAddresses(int newOwnNumber, int count) {
-        return new FleetSettings(fleet, name, version, roles, newOwnNumber, count, periodUs, bytesPerSecond,
+        return new FleetSettings(
+                fleet,
+                name,
+                version,
+                roles,
+                newOwnNumber,
+                count,
+                periodUs,
+                bytesPerSecond,
                 forgetAfterUs);
     }
 }
--- a/src/main/java/passhatch/fleet/Frame.java
+++ b/src/main/java/passhatch/fleet/Frame.java
@@ -4,17 +4,18 @@
 import java.util.zip.CRC32C;
 
 /**
- * What all datagrams of the fleet begin with: a byte that says which format follows, and a CRC32C of the
- * rest.
+ * What all datagrams of the fleet begin with: a byte that says which format follows, and a CRC32C
+ * of the rest.
  */
 public final class Frame {
 
     /** The most bytes of a datagram on the platform. */
     public static final int MOST_BYTES = 256;
+
     /** Bytes before the content. */
     public static final int HEAD = 5;
 
-    private Frame() { }
+    private Frame() {}
 
     /** Puts the checksum into a datagram that is complete but for it. */
     static byte[] sealed(byte[] bytes) {
@@ -24,7 +25,12 @@
 
     /** A datagram of this format with this content. */
     public static byte[] of(byte format, byte[] content) {
-        return sealed(ByteBuffer.allocate(HEAD + content.length).put(format).putInt(0).put(content).array());
+        return sealed(
+                ByteBuffer.allocate(HEAD + content.length)
+                        .put(format)
+                        .putInt(0)
+                        .put(content)
+                        .array());
     }
 
     /** Why a datagram cannot be of this format, or null. */
--- a/src/main/java/passhatch/fleet/GossipQueue.java
+++ b/src/main/java/passhatch/fleet/GossipQueue.java
@@ -8,16 +8,17 @@
 import java.util.TreeSet;
 
 /**
- * News that others should hear, each a bounded number of times: what was told least often goes first, and of
- * those the latest (SWIM: Das, Gupta, Motivala, 2002, 4.1).
+ * News that others should hear, each a bounded number of times: what was told least often goes
+ * first, and of those the latest (SWIM: Das, Gupta, Motivala, 2002, 4.1).
  */
 final class GossipQueue {
 
     /** After so many that do not fit, a datagram is full enough. */
     private static final int MOST_MISSES = 4;
 
-    private static final Comparator<Item> ORDER = Comparator.comparingInt((Item i) -> i.told)
-            .thenComparing(Comparator.comparingLong((Item i) -> i.order).reversed());
+    private static final Comparator<Item> ORDER =
+            Comparator.comparingInt((Item i) -> i.told)
+                    .thenComparing(Comparator.comparingLong((Item i) -> i.order).reversed());
 
     private static final class Item {
         private final Fact fact;
--- a/src/main/java/passhatch/fleet/Incarnation.java
+++ b/src/main/java/passhatch/fleet/Incarnation.java
@@ -11,9 +11,10 @@
  */
 public record Incarnation(long epoch, int life, int refutation) implements Comparable<Incarnation> {
 
-    private static final Comparator<Incarnation> ORDER = Comparator.comparingLong(Incarnation::epoch)
-            .thenComparing(Incarnation::life, Integer::compareUnsigned)
-            .thenComparingInt(Incarnation::refutation);
+    private static final Comparator<Incarnation> ORDER =
+            Comparator.comparingLong(Incarnation::epoch)
+                    .thenComparing(Incarnation::life, Integer::compareUnsigned)
+                    .thenComparingInt(Incarnation::refutation);
 
     @Override
     public int compareTo(Incarnation other) {
--- a/src/main/java/passhatch/fleet/LocalHealth.java
+++ b/src/main/java/passhatch/fleet/LocalHealth.java
@@ -1,8 +1,9 @@
 package passhatch.fleet;
 
 /**
- * How far this process is to be trusted in what it says of others: the worse, the longer it waits before it
- * accuses (Lifeguard: Dadgar, Phillips, Currey, "Lifeguard: SWIM-ing with Situational Awareness", 2017).
+ * How far this process is to be trusted in what it says of others: the worse, the longer it waits
+ * before it accuses (Lifeguard: Dadgar, Phillips, Currey, "Lifeguard: SWIM-ing with Situational
+ * Awareness", 2017).
  */
 final class LocalHealth {
 
--- a/src/main/java/passhatch/fleet/Member.java
+++ b/src/main/java/passhatch/fleet/Member.java
@@ -50,7 +50,13 @@
     }
 
     MemberInfo info() {
-        return new MemberInfo(fact.name(), fact.status(), fact.incarnation(), fact.version(), fact.roles(),
-                sinceUs, address);
+        return new MemberInfo(
+                fact.name(),
+                fact.status(),
+                fact.incarnation(),
+                fact.version(),
+                fact.roles(),
+                sinceUs,
+                address);
     }
 }
--- a/src/main/java/passhatch/fleet/Membership.java
+++ b/src/main/java/passhatch/fleet/Membership.java
@@ -8,29 +8,38 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Membership of one process: told the time and what arrived, it says what to send and when to wake it. For
- * one thread; it never blocks. After each call {@link #wakeAtUs} is when {@link #timer} has to be called
- * next. Whoever drives it hands over datagrams that wait before it calls the timer.
+ * Membership of one process: told the time and what arrived, it says what to send and when to wake
+ * it. For one thread; it never blocks. After each call {@link #wakeAtUs} is when {@link #timer} has
+ * to be called next. Whoever drives it hands over datagrams that wait before it calls the timer.
  *
- * <p>Failure detection in the manner of SWIM (Das, Gupta, Motivala, 2002) with Lifeguard's local health
- * (Dadgar, Phillips, Currey, 2017), and anti-entropy. What each view says when is in
- * {@code docs/membership.md}.
+ * <p>Failure detection in the manner of SWIM (Das, Gupta, Motivala, 2002) with Lifeguard's local
+ * health (Dadgar, Phillips, Currey, 2017), and anti-entropy. What each view says when is in {@code
+ * docs/membership.md}.
  */
 public final class Membership {
 
     /** Times as shares of a period. */
     private static final double GOSSIP_EVERY = 0.4;
+
     private static final double SYNC_EVERY = 4;
     private static final double FIRST_PROBES_EVERY = 0.2;
     private static final double LATE = 0.5;
-    /** Members that news goes to at a time; to more where there is more than fits, within the budget. */
+
+    /**
+     * Members that news goes to at a time; to more where there is more than fits, within the
+     * budget.
+     */
     private static final int GOSSIP_TO = 3;
+
     private static final int MOST_GOSSIP_TO = 6;
     private static final int NEWS_A_DATAGRAM = 8;
+
     /** Members that hear at once that this one goes. */
     private static final int FAREWELLS = 8;
+
     /** While it knows fewer others it looks for them more often. */
     private static final int FEW = 4;
+
     private static final long FORGET_EVERY_US = 10_000_000;
 
     private final FleetActions actions;
@@ -44,8 +53,10 @@
     private final AntiEntropy antiEntropy;
     private FleetSettings settings;
     private long nowUs;
+
     /** What the caller's clock has gone back by, in all. */
     private long skewUs;
+
     private long wakeAtUs;
     private long probeAtUs;
     private long gossipAtUs;
@@ -60,7 +71,11 @@
      * @param epoch durable, and greater than in any earlier run where the disk kept it
      * @param random seeded by the caller; all that is drawn comes from it
      */
-    public Membership(FleetSettings settings, long nowUs, long epoch, RandomGenerator random,
+    public Membership(
+            FleetSettings settings,
+            long nowUs,
+            long epoch,
+            RandomGenerator random,
             FleetActions actions) {
         this.settings = settings;
         this.actions = actions;
@@ -70,8 +85,15 @@
         this.view = new View(settings.addresses());
         this.outbox = new Outbox(settings, self::fact, view, actions);
         outbox.now(nowUs);
-        this.beliefs = new Beliefs(settings, self, view, outbox, health, actions,
-                suspect -> probes().rumour(this.nowUs, suspect));
+        this.beliefs =
+                new Beliefs(
+                        settings,
+                        self,
+                        view,
+                        outbox,
+                        health,
+                        actions,
+                        suspect -> probes().rumour(this.nowUs, suspect));
         this.probes = new Probes(settings, self, view, outbox, beliefs, health, random);
         this.antiEntropy = new AntiEntropy(view, outbox, random);
         Member own = view.add(self.fact(), nowUs);
@@ -128,29 +150,36 @@
             beliefs.rival(nowUs, sender, address);
         }
         Member member = view.get(sender.name());
-        boolean current = !own && member != null
-                && member.fact().incarnation().equals(sender.incarnation());
+        boolean current =
+                !own && member != null && member.fact().incarnation().equals(sender.incarnation());
         if (current) {
             view.heard(member, address);
         }
         message.facts().forEach(f -> beliefs.hear(nowUs, f));
         switch (message.kind()) {
-            case PING -> outbox.needed(address, Message.Kind.ACK, message.number(), "", opinion(sender));
+            case PING ->
+                    outbox.needed(address, Message.Kind.ACK, message.number(), "", opinion(sender));
             case ACK -> probes.answered(address, message, current);
             case NACK -> probes.refused(message);
             case PING_REQUEST -> probes.help(nowUs, address, message);
             case SYNC -> antiEntropy.compare(address, message.node(), message.digests());
             case LEAF -> antiEntropy.answer(address, message.node(), message.facts());
-            case GOSSIP, LEAF_ANSWER -> { }
+            case GOSSIP, LEAF_ANSWER -> {}
         }
     }
 
-    /** What a sender has to hear: that it is thought to be gone, or that a newer process has its name. */
+    /**
+     * What a sender has to hear: that it is thought to be gone, or that a newer process has its
+     * name.
+     */
     private List<Fact> opinion(Fact sender) {
         Member member = view.get(sender.name());
         Fact known = member == null ? view.lastWord(sender.name()) : member.fact();
-        return known == null || known.status() == sender.status()
-                && known.incarnation().equals(sender.incarnation()) ? List.of() : List.of(known);
+        return known == null
+                        || known.status() == sender.status()
+                                && known.incarnation().equals(sender.incarnation())
+                ? List.of()
+                : List.of(known);
     }
 
     /** The time of {@link #wakeAtUs} has come. */
@@ -184,8 +213,8 @@
     }
 
     /**
-     * Takes the time. Where the caller's clock went back, time goes on from where it was; where this process
-     * was held up, what it waited for had no chance to come.
+     * Takes the time. Where the caller's clock went back, time goes on from where it was; where
+     * this process was held up, what it waited for had no chance to come.
      */
     private void enter(long us) {
         skewUs = Math.max(skewUs, nowUs - us);
@@ -212,7 +241,10 @@
         return Math.max(nowUs, Math.min(at, forgetAtUs));
     }
 
-    /** Says that it goes. Whoever drives it goes on for a second or so, so that the others hear of it. */
+    /**
+     * Says that it goes. Whoever drives it goes on for a second or so, so that the others hear of
+     * it.
+     */
     public void leave(long us) {
         enter(us);
         self.leave();
@@ -228,7 +260,8 @@
     /**
      * The list of addresses is another one now.
      *
-     * @param newPlaces for each place of the old list the one in the new list, or -1 where it is gone
+     * @param newPlaces for each place of the old list the one in the new list, or -1 where it is
+     *     gone
      * @param ownNumber place of this process's own in the new list, or -1
      * @param addresses length of the new list
      */
@@ -270,13 +303,16 @@
 
     /** All members that are known, this one among them, by name. */
     public List<MemberInfo> members() {
-        return view.all().stream().map(Member::info).sorted(Comparator.comparing(MemberInfo::name)).toList();
+        return view.all().stream()
+                .map(Member::info)
+                .sorted(Comparator.comparing(MemberInfo::name))
+                .toList();
     }
 
     /** Whether just these are present in the view, suspects among them. */
     public boolean sees(Set<String> names) {
-        return view.present() == names.size() && names.stream().map(view::get)
-                .allMatch(m -> m != null && m.status().present());
+        return view.present() == names.size()
+                && names.stream().map(view::get).allMatch(m -> m != null && m.status().present());
     }
 
     /** A digest of the view but for suspicion: where two processes have the same, they agree. */
@@ -294,12 +330,22 @@
      * @param sentBytes bytes of those
      * @param dropped datagrams that were not taken or not sent, by reason
      */
-    public record Figures(int localHealth, long heldUps, long received, long sent, long sentBytes,
-            Map<Drop, Long> dropped) { }
+    public record Figures(
+            int localHealth,
+            long heldUps,
+            long received,
+            long sent,
+            long sentBytes,
+            Map<Drop, Long> dropped) {}
 
     /** The figures as they are now. */
     public Figures figures() {
-        return new Figures(health.score(), heldUps, received, outbox.sent(), outbox.sentBytes(),
+        return new Figures(
+                health.score(),
+                heldUps,
+                received,
+                outbox.sent(),
+                outbox.sentBytes(),
                 new TreeMap<>(outbox.drops()));
     }
 }
--- a/src/main/java/passhatch/fleet/Message.java
+++ b/src/main/java/passhatch/fleet/Message.java
@@ -12,7 +12,13 @@
  * @param sender what the sender says of itself
  * @param facts what it says of others, the most useful first
  */
-record Message(Kind kind, int number, String target, int node, int[] digests, Fact sender,
+record Message(
+        Kind kind,
+        int number,
+        String target,
+        int node,
+        int[] digests,
+        Fact sender,
         List<Fact> facts) {
 
     /** What a datagram is for; their order is part of the format. */
--- a/src/main/java/passhatch/fleet/Names.java
+++ b/src/main/java/passhatch/fleet/Names.java
@@ -4,18 +4,22 @@
 import java.util.regex.Pattern;
 import java.util.zip.CRC32C;
 
-/** Bounds on what is named in a datagram, so that one always has room for a statement about a member. */
+/**
+ * Bounds on what is named in a datagram, so that one always has room for a statement about a
+ * member.
+ */
 public final class Names {
 
     /** Characters of a member's name, at most. */
     public static final int MOST_NAME = 48;
+
     /** Characters of a fleet's name, of a version, and of all roles together, at most. */
     public static final int MOST_LABEL = 16;
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1," + MOST_NAME + "}");
     private static final Pattern LABEL = Pattern.compile("[A-Za-z0-9._+,-]{0," + MOST_LABEL + "}");
 
-    private Names() { }
+    private Names() {}
 
     /** Whether it may name a member. */
     public static boolean isName(String text) {
--- a/src/main/java/passhatch/fleet/Outbox.java
+++ b/src/main/java/passhatch/fleet/Outbox.java
@@ -11,7 +11,9 @@
 
     /** How often a fact is told: so many times the decimal logarithm of the fleet's size. */
     private static final double TIMES = 3;
+
     private static final int[] NO_DIGESTS = {};
+
     /** Most datagrams for one list of facts; what does not fit comes at another time. */
     private static final int MOST_PARTS = 3;
 
@@ -62,7 +64,10 @@
         return drops;
     }
 
-    /** A datagram without which a member would be taken for failed; {@code first} stands before the news. */
+    /**
+     * A datagram without which a member would be taken for failed; {@code first} stands before the
+     * news.
+     */
     void needed(int address, Message.Kind kind, int number, String target, List<Fact> first) {
         send(address, kind, number, target, 0, NO_DIGESTS, first, true);
     }
@@ -80,13 +85,29 @@
     void leaf(int address, Message.Kind kind, int node, List<Fact> facts) {
         int done = 0;
         for (int i = 0; i < MOST_PARTS && (i == 0 || done < facts.size()); i++) {
-            done += send(address, kind, 0, "", node, NO_DIGESTS, facts.subList(done, facts.size()), false);
+            done +=
+                    send(
+                            address,
+                            kind,
+                            0,
+                            "",
+                            node,
+                            NO_DIGESTS,
+                            facts.subList(done, facts.size()),
+                            false);
         }
     }
 
     /** Returns how many of the first facts went with it. */
-    private int send(int address, Message.Kind kind, int number, String target, int node, int[] digests,
-            List<Fact> first, boolean needed) {
+    private int send(
+            int address,
+            Message.Kind kind,
+            int number,
+            String target,
+            int node,
+            int[] digests,
+            List<Fact> first,
+            boolean needed) {
         if (!budget.take(nowUs, Frame.MOST_BYTES, needed)) {
             dropped(Drop.BUDGET);
             return 0;
--- a/src/main/java/passhatch/fleet/Probes.java
+++ b/src/main/java/passhatch/fleet/Probes.java
@@ -8,20 +8,27 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Asks one member after the other, in an order drawn anew each round, whether it is there (SWIM 4.3): itself,
- * several times as datagrams get lost, and then through others. Several probes may run at a time. Only an
- * answer to the probe's own number counts, as other datagrams may be minutes old.
+ * Asks one member after the other, in an order drawn anew each round, whether it is there (SWIM
+ * 4.3): itself, several times as datagrams get lost, and then through others. Several probes may
+ * run at a time. Only an answer to the probe's own number counts, as other datagrams may be minutes
+ * old.
  */
 final class Probes {
 
-    /** Times as shares of a period: between two questions; until others are asked; until it is over. */
+    /**
+     * Times as shares of a period: between two questions; until others are asked; until it is over.
+     */
     private static final double AGAIN = 0.3;
+
     private static final double INDIRECT = 0.9;
     private static final double OVER = 2.4;
+
     /** Members that are asked to ask. */
     private static final int HELPERS = 4;
+
     /** Of all that hear of a suspect, so many see for themselves, on average. */
     private static final double CONFIRMING = 4;
+
     private static final int MOST_RUNNING = 64;
     private static final int MOST_RELAYS = 256;
     private static final int MOST_PASSED = 8;
@@ -75,7 +82,13 @@
     private int ownNumber;
     private int next;
 
-    Probes(FleetSettings settings, Self self, View view, Outbox outbox, Beliefs beliefs, LocalHealth health,
+    Probes(
+            FleetSettings settings,
+            Self self,
+            View view,
+            Outbox outbox,
+            Beliefs beliefs,
+            LocalHealth health,
             RandomGenerator random) {
         this.self = self;
         this.view = view;
@@ -133,15 +146,23 @@
 
     /** A member that is known from hearsay only, and that others have to ask. */
     private void probeOneWithoutAddress(long nowUs) {
-        List<Member> without = view.all().stream().filter(m -> m.address() < 0 && m.status().present()
-                && !m.name().equals(self.name())).toList();
+        List<Member> without =
+                view.all().stream()
+                        .filter(
+                                m ->
+                                        m.address() < 0
+                                                && m.status().present()
+                                                && !m.name().equals(self.name()))
+                        .toList();
         if (!without.isEmpty()) {
             begin(nowUs, without.get(random.nextInt(without.size())));
         }
     }
 
     private static List<Fact> opinion(Member member) {
-        return member == null || member.status() == Status.ALIVE ? List.of() : List.of(member.fact());
+        return member == null || member.status() == Status.ALIVE
+                ? List.of()
+                : List.of(member.fact());
     }
 
     private void begin(long nowUs, Member member) {
@@ -159,7 +180,10 @@
         return next;
     }
 
-    /** Others have found a member silent: some see for themselves, so that the verdict is not one's alone. */
+    /**
+     * Others have found a member silent: some see for themselves, so that the verdict is not one's
+     * alone.
+     */
     void rumour(long nowUs, Member suspect) {
         if (random.nextDouble() * Math.max(1, view.present()) < CONFIRMING
                 && !suspect.name().equals(self.name())
@@ -179,7 +203,7 @@
                 go(nowUs, entry.getKey(), probe);
             }
         }
-        for (Iterator<Map.Entry<Integer, Relay>> i = relays.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<Integer, Relay>> i = relays.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<Integer, Relay> entry = i.next();
             Relay relay = entry.getValue();
             if (nowUs >= relay.endUs) {
@@ -201,7 +225,8 @@
             probe.helpersAsked = true;
             for (Member helper : pick(HELPERS, probe.name)) {
                 probe.helpers++;
-                outbox.needed(helper.address(), Message.Kind.PING_REQUEST, number, probe.name, List.of());
+                outbox.needed(
+                        helper.address(), Message.Kind.PING_REQUEST, number, probe.name, List.of());
             }
         }
         probe.nextUs = nowUs + times(AGAIN);
@@ -217,7 +242,8 @@
 
     private void failed(long nowUs, Probe probe) {
         if (probe.helpers > 0 && probe.refusals == 0) {
-            // None of those asked for help said anything either: then this process itself hears badly.
+            // None of those asked for help said anything either: then this process itself hears
+            // badly.
             health.worse(1);
         }
         Member member = view.get(probe.name);
@@ -226,7 +252,10 @@
         }
     }
 
-    /** Members that are present and have an address, drawn at random; fewer where there are not as many. */
+    /**
+     * Members that are present and have an address, drawn at random; fewer where there are not as
+     * many.
+     */
     List<Member> pick(int count, String but) {
         List<Member> picked = new ArrayList<>();
         int addresses = view.addresses();
@@ -243,8 +272,12 @@
     }
 
     private void take(List<Member> picked, Member member, String but) {
-        if (member != null && member.status().present() && member.address() >= 0 && !picked.contains(member)
-                && !member.name().equals(but) && !member.name().equals(self.name())) {
+        if (member != null
+                && member.status().present()
+                && member.address() >= 0
+                && !picked.contains(member)
+                && !member.name().equals(but)
+                && !member.name().equals(self.name())) {
             picked.add(member);
         }
     }
@@ -264,7 +297,11 @@
 
     private void ask(long nowUs, int number, Relay relay) {
         relay.nextUs = nowUs + times(AGAIN);
-        outbox.needed(relay.address, Message.Kind.PING, number, relay.target,
+        outbox.needed(
+                relay.address,
+                Message.Kind.PING,
+                number,
+                relay.target,
                 opinion(view.get(relay.target)));
     }
 
@@ -286,7 +323,11 @@
         Relay relay = relays.get(answer.number());
         if (relay != null && current && answer.sender().name().equals(relay.target)) {
             relays.remove(answer.number());
-            outbox.needed(relay.from, Message.Kind.ACK, relay.number, relay.target,
+            outbox.needed(
+                    relay.from,
+                    Message.Kind.ACK,
+                    relay.number,
+                    relay.target,
                     List.of(answer.sender()));
         }
     }
--- a/src/main/java/passhatch/fleet/Self.java
+++ b/src/main/java/passhatch/fleet/Self.java
@@ -45,7 +45,10 @@
         leaving = true;
     }
 
-    /** Whether a newer process has this name: then this one takes no part but to hear when that one ends. */
+    /**
+     * Whether a newer process has this name: then this one takes no part but to hear when that one
+     * ends.
+     */
     boolean givenWay() {
         return givenWay;
     }
@@ -55,7 +58,13 @@
     }
 
     Fact fact() {
-        return new Fact(leaving ? Status.LEFT : Status.ALIVE, name, incarnation, number, version, roles,
+        return new Fact(
+                leaving ? Status.LEFT : Status.ALIVE,
+                name,
+                incarnation,
+                number,
+                version,
+                roles,
                 List.of());
     }
 }
--- a/src/main/java/passhatch/fleet/Status.java
+++ b/src/main/java/passhatch/fleet/Status.java
@@ -1,8 +1,8 @@
 package passhatch.fleet;
 
 /**
- * What is said of a member. Of two statements about one incarnation the later in this order holds; to
- * overrule it, the member itself has to come with a newer incarnation.
+ * What is said of a member. Of two statements about one incarnation the later in this order holds;
+ * to overrule it, the member itself has to come with a newer incarnation.
  */
 public enum Status {
     /** It is present. */
--- a/src/main/java/passhatch/fleet/View.java
+++ b/src/main/java/passhatch/fleet/View.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** All members that this process knows of, itself among them, and at which address it finds them. */
+/**
+ * All members that this process knows of, itself among them, and at which address it finds them.
+ */
 final class View {
 
     /** Members at most; what is told of further ones is not taken. */
@@ -18,15 +20,18 @@
     private final Map<String, Member> members = new HashMap<>();
     private final List<List<Member>> leaves = new ArrayList<>();
     private final Set<Member> suspects = new LinkedHashSet<>();
+
     /** The last word on those that are shown no more, so that old news does not bring them back. */
-    private final Map<String, Fact> forgotten = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
+    private final Map<String, Fact> forgotten =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Fact> eldest) {
+                    return size() > MOST_MEMBERS;
+                }
+            };
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Fact> eldest) {
-            return size() > MOST_MEMBERS;
-        }
-    };
     private final Digests digests = new Digests();
     private String[] names;
     private int present;
@@ -148,7 +153,9 @@
         forgotten.put(member.name(), member.fact());
     }
 
-    /** Addresses have other places from now on; {@code newPlaces} has -1 for those that are gone. */
+    /**
+     * Addresses have other places from now on; {@code newPlaces} has -1 for those that are gone.
+     */
     void move(int[] newPlaces, int addresses) {
         String[] before = names;
         names = new String[addresses];
--- a/src/main/java/passhatch/lab/LabLog.java
+++ b/src/main/java/passhatch/lab/LabLog.java
@@ -13,7 +13,7 @@
 
     private static final String APPENDER = "file";
 
-    private LabLog() { }
+    private LabLog() {}
 
     /** Sends it to a file from now on, instead of the one before. */
     public static void to(Path file) {
--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -9,7 +9,7 @@
 /** Where the tools start: the program's own commands, and those that only the lab has. */
 public final class Main {
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the command and exits with its status. */
     public static void main(String[] args) {
@@ -18,8 +18,11 @@
     }
 
     static CommandLine line() {
-        return Commands.oneLineErrors(Commands.line().addSubcommand(DrillCommand.line())
-                .addSubcommand(FleetCommand.line()).addSubcommand(DutyCommand.line())
-                .addSubcommand(new StoreBench()));
+        return Commands.oneLineErrors(
+                Commands.line()
+                        .addSubcommand(DrillCommand.line())
+                        .addSubcommand(FleetCommand.line())
+                        .addSubcommand(DutyCommand.line())
+                        .addSubcommand(new StoreBench()));
     }
 }
--- a/src/main/java/passhatch/lab/Seeds.java
+++ b/src/main/java/passhatch/lab/Seeds.java
@@ -21,6 +21,7 @@
         crc.update(component.getBytes(StandardCharsets.UTF_8));
         // Mixed first: this generator's first draws are alike for seeds that differ in a few bits.
         UniformRandomProvider mixed = RandomSource.SPLIT_MIX_64.create(seed ^ crc.getValue() << 32);
-        return RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {mixed.nextLong(), mixed.nextLong()});
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(
+                new long[] {mixed.nextLong(), mixed.nextLong()});
     }
 }
--- a/src/main/java/passhatch/lab/StoreBench.java
+++ b/src/main/java/passhatch/lab/StoreBench.java
@@ -23,25 +23,41 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Measures the store on a real folder: writing beside a plain write and force, and opening a full one. */
-@Command(name = "store-bench", mixinStandardHelpOptions = true,
-        description = "Measures the store's writing and recovery in a new folder, which is left there.")
+/**
+ * Measures the store on a real folder: writing beside a plain write and force, and opening a full
+ * one.
+ */
+@Command(
+        name = "store-bench",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures the store's writing and recovery in a new folder, which is left there.")
 final class StoreBench implements Callable<Integer> {
 
     private static final int PLAIN_ROUNDS = 200;
     private static final int OPENINGS = 15;
 
-    @Spec
-    private CommandSpec spec;
+    @Spec private CommandSpec spec;
+
     @Parameters(paramLabel = "DIR", description = "A folder that is not there yet.")
     private Path folder;
-    @Option(names = "--records", defaultValue = "20000", description =
-            "How many to write (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--records",
+            defaultValue = "20000",
+            description = "How many to write (${DEFAULT-VALUE}).")
     private int records;
-    @Option(names = "--bytes", defaultValue = "100", description = "Of each record (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--bytes",
+            defaultValue = "100",
+            description = "Of each record (${DEFAULT-VALUE}).")
     private int bytes;
-    @Option(names = "--threads", defaultValue = "32", description =
-            "That write at a time (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--threads",
+            defaultValue = "32",
+            description = "That write at a time (${DEFAULT-VALUE}).")
     private int threads;
 
     @Override
@@ -50,12 +66,23 @@
             throw new BadInput(folder + ": is there already");
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, "plain write and force of one record: %.0f records a second%n", plain());
-        out.printf(Locale.ROOT, "group commit, %d threads: %.0f records a second%n", threads, grouped());
+        out.printf(
+                Locale.ROOT,
+                "plain write and force of one record: %.0f records a second%n",
+                plain());
+        out.printf(
+                Locale.ROOT,
+                "group commit, %d threads: %.0f records a second%n",
+                threads,
+                grouped());
         Histogram us = openings();
-        out.printf(Locale.ROOT, "opening a store of %.1f MiB, %d times: median %.1f ms, worst %.1f ms%n",
-                storeBytes() / 1048576.0, OPENINGS, us.getValueAtPercentile(50) / 1e3,
-                        us.getMaxValue() / 1e3);
+        out.printf(
+                Locale.ROOT,
+                "opening a store of %.1f MiB, %d times: median %.1f ms, worst %.1f ms%n",
+                storeBytes() / 1048576.0,
+                OPENINGS,
+                us.getValueAtPercentile(50) / 1e3,
+                us.getMaxValue() / 1e3);
         out.flush();
         return 0;
     }
@@ -73,9 +100,10 @@
     }
 
     private double grouped() throws IOException, StoreException, InterruptedException {
-        try (GroupCommit group = new GroupCommit(RecordLog.open(FolderDisk.take(folder.resolve("store")),
-                "bench",
-                e -> { }))) {
+        try (GroupCommit group =
+                new GroupCommit(
+                        RecordLog.open(
+                                FolderDisk.take(folder.resolve("store")), "bench", e -> {}))) {
             long beganNs = System.nanoTime();
             List<Thread> writers = new ArrayList<>();
             for (int t = 0; t < threads; t++) {
@@ -103,7 +131,7 @@
         Histogram us = new Histogram(TimeUnit.MINUTES.toMicros(1), 3);
         for (int i = 0; i < OPENINGS; i++) {
             long beganNs = System.nanoTime();
-            RecordLog.open(FolderDisk.take(folder.resolve("store")), "bench", e -> { }).close();
+            RecordLog.open(FolderDisk.take(folder.resolve("store")), "bench", e -> {}).close();
             us.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - beganNs));
         }
         return us;
--- a/src/main/java/passhatch/lab/disk/FaultyDisk.java
+++ b/src/main/java/passhatch/lab/disk/FaultyDisk.java
@@ -14,10 +14,10 @@
 import passhatch.store.Disk;
 
 /**
- * A disk in memory that loses what was not forced. At a power loss each write that was not forced survives or
- * not, whole or torn at any byte, in any order; of the changes of names that were not forced a first part
- * survives, as a file system's journal keeps them in order. It can stop the process at any call, fail a call
- * with an error, run full, and flip bits.
+ * A disk in memory that loses what was not forced. At a power loss each write that was not forced
+ * survives or not, whole or torn at any byte, in any order; of the changes of names that were not
+ * forced a first part survives, as a file system's journal keeps them in order. It can stop the
+ * process at any call, fail a call with an error, run full, and flip bits.
  */
 public final class FaultyDisk implements Disk {
 
@@ -31,11 +31,18 @@
     }
 
     /** What happens at a chosen call. */
-    public enum Fault { NONE, STOP_BEFORE, STOP_AFTER, ERROR, TORN_ERROR }
+    public enum Fault {
+        NONE,
+        STOP_BEFORE,
+        STOP_AFTER,
+        ERROR,
+        TORN_ERROR
+    }
 
     /** A file's bytes, with those that are on disk for sure apart from writes that are not. */
     private static final class Content {
         byte[] sure = {};
+
         /** Writes and cuts since the last force, by their place; a cut has no bytes. */
         final List<Change> unsure = new ArrayList<>();
 
@@ -61,12 +68,16 @@
     }
 
     /** A change of names: a file appears under a name, or none does. */
-    private record Naming(String name, Content content) { }
+    private record Naming(String name, Content content) {}
 
     private final Map<String, Content> files = new TreeMap<>();
     private final Map<String, Content> sureNames = new TreeMap<>();
-    /** Changes of names that belong together, as a rename's two, since the last force of the folder. */
+
+    /**
+     * Changes of names that belong together, as a rename's two, since the last force of the folder.
+     */
     private final List<List<Naming>> unsureNames = new ArrayList<>();
+
     private final long capacity;
     private long faultAt = -1;
     private Fault fault = Fault.NONE;
@@ -89,7 +100,9 @@
         return calls;
     }
 
-    /** Whether forcing does nothing though it says so: to see that a test would notice one left out. */
+    /**
+     * Whether forcing does nothing though it says so: to see that a test would notice one left out.
+     */
     public void forgetfulForce(boolean on) {
         forgetfulForce = on;
     }
@@ -116,11 +129,14 @@
         byte[] all = content.sure;
         int way = random.nextInt(4);
         for (Change c : content.unsure) {
-            // All of them, none, or each by itself: with the last alone the ends would hardly ever be seen.
+            // All of them, none, or each by itself: with the last alone the ends would hardly ever
+            // be seen.
             boolean survives = way == 0 || way != 1 && random.nextBoolean();
             if (survives) {
-                int length = way >= 2 && random.nextBoolean() ? random.nextInt(c.bytes.length + 1)
-                        : c.bytes.length;
+                int length =
+                        way >= 2 && random.nextBoolean()
+                                ? random.nextInt(c.bytes.length + 1)
+                                : c.bytes.length;
                 all = c.applied(all, length);
             }
         }
@@ -199,70 +215,77 @@
     public byte[] read(String name, int most) throws IOException {
         byte[] now = file(name).now();
         if (now.length > most) {
-            throw new IOException(name + " has " + now.length + " bytes, and at most " + most + " are read");
+            throw new IOException(
+                    name + " has " + now.length + " bytes, and at most " + most + " are read");
         }
         return now.clone();
     }
 
     @Override
     public void create(String name) throws IOException {
-        call(() -> {
-            if (files.containsKey(name)) {
-                throw new FileAlreadyExistsException(name);
-            }
-            Content content = new Content();
-            files.put(name, content);
-            unsureNames.add(List.of(new Naming(name, content)));
-        });
+        call(
+                () -> {
+                    if (files.containsKey(name)) {
+                        throw new FileAlreadyExistsException(name);
+                    }
+                    Content content = new Content();
+                    files.put(name, content);
+                    unsureNames.add(List.of(new Naming(name, content)));
+                });
     }
 
     @Override
     public void append(String name, ByteBuffer bytes) throws IOException {
         boolean torn = fault == Fault.TORN_ERROR && calls == faultAt;
-        call(() -> {
-            Content content = file(name);
-            byte[] all = new byte[bytes.remaining()];
-            bytes.get(all);
-            long used = files.values().stream().mapToLong(c -> c.now().length).sum();
-            int fits = (int) Math.min(all.length, capacity - used);
-            int written = torn ? fits / 2 : fits;
-            content.unsure.add(new Change(content.now().length, Arrays.copyOf(all, written), false));
-            if (fits < all.length) {
-                throw new IOException("No space left on device");
-            }
-        });
+        call(
+                () -> {
+                    Content content = file(name);
+                    byte[] all = new byte[bytes.remaining()];
+                    bytes.get(all);
+                    long used = files.values().stream().mapToLong(c -> c.now().length).sum();
+                    int fits = (int) Math.min(all.length, capacity - used);
+                    int written = torn ? fits / 2 : fits;
+                    content.unsure.add(
+                            new Change(content.now().length, Arrays.copyOf(all, written), false));
+                    if (fits < all.length) {
+                        throw new IOException("No space left on device");
+                    }
+                });
     }
 
     @Override
     public void force(String name) throws IOException {
-        call(() -> {
-            Content content = file(name);
-            if (!forgetfulForce) {
-                content.sure = content.now();
-                content.unsure.clear();
-            }
-        });
+        call(
+                () -> {
+                    Content content = file(name);
+                    if (!forgetfulForce) {
+                        content.sure = content.now();
+                        content.unsure.clear();
+                    }
+                });
     }
 
     @Override
     public void forceFolder() throws IOException {
-        call(() -> {
-            if (!forgetfulForce) {
-                sureNames.clear();
-                sureNames.putAll(files);
-                unsureNames.clear();
-            }
-        });
+        call(
+                () -> {
+                    if (!forgetfulForce) {
+                        sureNames.clear();
+                        sureNames.putAll(files);
+                        unsureNames.clear();
+                    }
+                });
     }
 
     @Override
     public void rename(String from, String to) throws IOException {
-        call(() -> {
-            Content content = file(from);
-            files.remove(from);
-            files.put(to, content);
-            unsureNames.add(List.of(new Naming(from, null), new Naming(to, content)));
-        });
+        call(
+                () -> {
+                    Content content = file(from);
+                    files.remove(from);
+                    files.put(to, content);
+                    unsureNames.add(List.of(new Naming(from, null), new Naming(to, content)));
+                });
     }
 
     @Override
@@ -272,11 +295,12 @@
 
     @Override
     public void delete(String name) throws IOException {
-        call(() -> {
-            file(name);
-            files.remove(name);
-            unsureNames.add(List.of(new Naming(name, null)));
-        });
+        call(
+                () -> {
+                    file(name);
+                    files.remove(name);
+                    unsureNames.add(List.of(new Naming(name, null)));
+                });
     }
 
     @Override
--- a/src/main/java/passhatch/lab/drill/ActLog.java
+++ b/src/main/java/passhatch/lab/drill/ActLog.java
@@ -5,13 +5,14 @@
 import java.util.List;
 
 /**
- * Acts on a duty as they were seen from outside, and whether two processes had it: of two acts of which one
- * ended before the other began, the later must not have the lesser term, and one term is one process's.
+ * Acts on a duty as they were seen from outside, and whether two processes had it: of two acts of
+ * which one ended before the other began, the later must not have the lesser term, and one term is
+ * one process's.
  */
 final class ActLog {
 
     /** A process was asked whether it may act, and some time between the two times it was so. */
-    record Act(int process, long term, long beganNs, long endedNs) { }
+    record Act(int process, long term, long beganNs, long endedNs) {}
 
     private final List<Act> acts = new ArrayList<>();
 
@@ -37,8 +38,9 @@
                 Act before = byEnd.get(ended++);
                 newest = newest == null || before.term() >= newest.term() ? before : newest;
             }
-            if (newest != null && (act.term() < newest.term()
-                    || act.term() == newest.term() && act.process() != newest.process())) {
+            if (newest != null
+                    && (act.term() < newest.term()
+                            || act.term() == newest.term() && act.process() != newest.process())) {
                 faults.add(act + " after " + newest);
             }
         }
--- a/src/main/java/passhatch/lab/drill/AgentChild.java
+++ b/src/main/java/passhatch/lab/drill/AgentChild.java
@@ -35,10 +35,21 @@
             socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             this.listen = (InetSocketAddress) socket.getLocalAddress();
         }
-        this.child = new Child(folder.getFileName().toString(), List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC", HEAP, "-jar", jar.toString(), "agent", "--config", config().toString()),
-                Map.of(), folder.resolve("log"));
+        this.child =
+                new Child(
+                        folder.getFileName().toString(),
+                        List.of(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-XX:TieredStopAtLevel=1",
+                                "-XX:+UseSerialGC",
+                                HEAP,
+                                "-jar",
+                                jar.toString(),
+                                "agent",
+                                "--config",
+                                config().toString()),
+                        Map.of(),
+                        folder.resolve("log"));
     }
 
     private Path config() {
@@ -58,9 +69,15 @@
         return child;
     }
 
-    /** Writes its configuration with the addresses of all members, which is its own, and further parts. */
-    void configure(List<InetSocketAddress> members, InetSocketAddress own, String more) throws IOException {
-        Files.writeString(config(), """
+    /**
+     * Writes its configuration with the addresses of all members, which is its own, and further
+     * parts.
+     */
+    void configure(List<InetSocketAddress> members, InetSocketAddress own, String more)
+            throws IOException {
+        Files.writeString(
+                config(),
+                """
                 [agent]
                 control = "%s"
                 store = "%s"
@@ -71,16 +88,30 @@
                 own = "%s"
                 members = [%s]
                 %s
-                """.formatted(Local.text(control), store(), name, Local.text(listen), Local.text(own),
-                members.stream().map(m -> '"' + Local.text(m) + '"').collect(Collectors.joining(", ")),
-                more));
+                """
+                        .formatted(
+                                Local.text(control),
+                                store(),
+                                name,
+                                Local.text(listen),
+                                Local.text(own),
+                                members.stream()
+                                        .map(m -> '"' + Local.text(m) + '"')
+                                        .collect(Collectors.joining(", ")),
+                                more));
     }
 
     /** What it thinks of all members, by name; empty where it does not answer. */
     Map<String, String> view() {
         Map<String, String> view = new TreeMap<>();
-        answer().ifPresent(a -> a.get("members").forEach(m ->
-                view.put(m.get("name").textValue(), m.get("status").textValue())));
+        answer().ifPresent(
+                        a ->
+                                a.get("members")
+                                        .forEach(
+                                                m ->
+                                                        view.put(
+                                                                m.get("name").textValue(),
+                                                                m.get("status").textValue())));
         return view;
     }
 
--- a/src/main/java/passhatch/lab/drill/AgentField.java
+++ b/src/main/java/passhatch/lab/drill/AgentField.java
@@ -26,7 +26,8 @@
     }
 
     /** The same with further parts of their configuration. */
-    AgentField(Path jar, Path folder, List<String> names, long seed, String more) throws IOException {
+    AgentField(Path jar, Path folder, List<String> names, long seed, String more)
+            throws IOException {
         this.names = names;
         this.relay = new UdpRelay(names.size(), new Seeds(seed).stream("relay"));
         for (int i = 0; i < names.size(); i++) {
--- a/src/main/java/passhatch/lab/drill/Child.java
+++ b/src/main/java/passhatch/lab/drill/Child.java
@@ -34,7 +34,8 @@
         }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
-        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
     }
 
@@ -60,10 +61,14 @@
                 process.destroy();
                 yield true;
             }
-            // The shell's own kill: the JDK has no call for other signals, and not every machine has the
+            // The shell's own kill: the JDK has no call for other signals, and not every machine
+            // has the
             // program.
-            default -> new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
-                    .start().waitFor() == 0;
+            default ->
+                    new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                                    .start()
+                                    .waitFor()
+                            == 0;
         };
     }
 
@@ -103,7 +108,8 @@
     String logEnd() {
         try {
             List<String> lines = Files.readAllLines(log, StandardCharsets.ISO_8859_1);
-            return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_END_LINES), lines.size()));
+            return String.join(
+                    "\n", lines.subList(Math.max(0, lines.size() - LOG_END_LINES), lines.size()));
         } catch (IOException unreadable) {
             return "(no log: " + unreadable + ")";
         }
