--- a/src/main/java/passhatch/lab/drill/Comparison.java
+++ b/src/main/java/passhatch/lab/drill/Comparison.java
@@ -10,8 +10,9 @@
 import org.apache.commons.statistics.distribution.TDistribution;
 
 /**
- * Two sets of runs side by side: of each measure both means, and the difference with its confidence interval
- * by Welch's method, which does not take the spreads for equal. With one run on a side there is no interval.
+ * Two sets of runs side by side: of each measure both means, and the difference with its confidence
+ * interval by Welch's method, which does not take the spreads for equal. With one run on a side
+ * there is no interval.
  */
 final class Comparison {
 
@@ -20,7 +21,8 @@
     /**
      * One measure.
      *
-     * @param low lower end of the interval of the difference, B less A; not a number without repeats
+     * @param low lower end of the interval of the difference, B less A; not a number without
+     *     repeats
      */
     record Row(String measure, double a, double b, double difference, double low, double high) {
         /** Whether the interval leaves no difference out. */
@@ -29,17 +31,18 @@
         }
     }
 
-    private Comparison() { }
+    private Comparison() {}
 
     static List<Row> of(List<Result> a, List<Result> b) {
         Map<String, double[]> left = measures(a);
         Map<String, double[]> right = measures(b);
         List<Row> rows = new ArrayList<>();
-        left.forEach((name, values) -> {
-            if (right.containsKey(name)) {
-                rows.add(row(name, values, right.get(name)));
-            }
-        });
+        left.forEach(
+                (name, values) -> {
+                    if (right.containsKey(name)) {
+                        rows.add(row(name, values, right.get(name)));
+                    }
+                });
         return rows;
     }
 
@@ -50,13 +53,19 @@
             all.put(name, results.stream().mapToDouble(r -> r.counts().get(name)).toArray());
         }
         for (String name : results.get(0).latencyMs().keySet()) {
-            all.put(name + " ms", results.stream().mapToDouble(r -> r.latencyMs().get(name)).toArray());
+            all.put(
+                    name + " ms",
+                    results.stream().mapToDouble(r -> r.latencyMs().get(name)).toArray());
         }
         for (int i = 0; i < results.get(0).recoveries().size(); i++) {
             int at = i;
-            if (results.stream().allMatch(r -> r.recoveries().size() > at && r.recoveries().get(at)
-                    .ms() != null)) {
-                all.put("recovery ms, " + results.get(0).recoveries().get(i).fault(),
+            if (results.stream()
+                    .allMatch(
+                            r ->
+                                    r.recoveries().size() > at
+                                            && r.recoveries().get(at).ms() != null)) {
+                all.put(
+                        "recovery ms, " + results.get(0).recoveries().get(i).fault(),
                         results.stream().mapToDouble(r -> r.recoveries().get(at).ms()).toArray());
             }
         }
@@ -75,11 +84,15 @@
         if (error == 0) {
             return new Row(name, meanA, meanB, meanB - meanA, meanB - meanA, meanB - meanA);
         }
-        double freedom = error * error / (errorA * errorA / (a.length - 1) + errorB * errorB / (b.length
-                - 1));
-        double half = TDistribution.of(freedom).inverseCumulativeProbability((1 + LEVEL) / 2) * Math.sqrt(
-                error);
-        return new Row(name, meanA, meanB, meanB - meanA, meanB - meanA - half, meanB - meanA + half);
+        double freedom =
+                error
+                        * error
+                        / (errorA * errorA / (a.length - 1) + errorB * errorB / (b.length - 1));
+        double half =
+                TDistribution.of(freedom).inverseCumulativeProbability((1 + LEVEL) / 2)
+                        * Math.sqrt(error);
+        return new Row(
+                name, meanA, meanB, meanB - meanA, meanB - meanA - half, meanB - meanA + half);
     }
 
     private static double mean(double[] values) {
@@ -91,16 +104,35 @@
     }
 
     static String text(List<Row> rows) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-40s %12s %12s %12s   %s%n", "",
-                "A", "B",
-                "B - A", "95 % interval"));
+        StringBuilder text =
+                new StringBuilder(
+                        String.format(
+                                Locale.ROOT,
+                                "%-40s %12s %12s %12s   %s%n",
+                                "",
+                                "A",
+                                "B",
+                                "B - A",
+                                "95 % interval"));
         for (Row row : rows) {
-            String interval = Double.isNaN(row.low()) ? "(needs repeats)"
-                    : String.format(Locale.ROOT, "%.4f to %.4f%s", row.low(), row.high(),
-                            row.differs() ? "  differs" : "");
-            text.append(String.format(Locale.ROOT, "%-40s %12.4f %12.4f %12.4f   %s%n", row.measure(),
-                    row.a(),
-                    row.b(), row.difference(), interval));
+            String interval =
+                    Double.isNaN(row.low())
+                            ? "(needs repeats)"
+                            : String.format(
+                                    Locale.ROOT,
+                                    "%.4f to %.4f%s",
+                                    row.low(),
+                                    row.high(),
+                                    row.differs() ? "  differs" : "");
+            text.append(
+                    String.format(
+                            Locale.ROOT,
+                            "%-40s %12.4f %12.4f %12.4f   %s%n",
+                            row.measure(),
+                            row.a(),
+                            row.b(),
+                            row.difference(),
+                            interval));
         }
         return text.toString();
     }
--- a/src/main/java/passhatch/lab/drill/Drill.java
+++ b/src/main/java/passhatch/lab/drill/Drill.java
@@ -24,8 +24,10 @@
 final class Drill {
 
     private static final Logger LOG = LoggerFactory.getLogger(Drill.class);
-    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    private static final ObjectMapper JSON =
+            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     private static final long PROGRESS_MS = 200;
+
     /** Between the last start and the first request. */
     private static final long LEAD_MS = 100;
 
@@ -47,24 +49,27 @@
     }
 
     /**
-     * Hears of the time given load so far, in milliseconds, and of the requests that ended and were served.
+     * Hears of the time given load so far, in milliseconds, and of the requests that ended and were
+     * served.
      */
-    interface Progress extends BiConsumer<Long, long[]> { }
+    interface Progress extends BiConsumer<Long, long[]> {}
 
     /**
      * Runs it.
      *
-     * @throws IOException where a process does not get ready, or a file cannot be written; whatever was
-     *     started has ended by then
+     * @throws IOException where a process does not get ready, or a file cannot be written; whatever
+     *     was started has ended by then
      */
     Result run(Progress progress) throws IOException, InterruptedException {
         Files.createDirectories(folder);
         Seeds seeds = new Seeds(scenario.seed());
-        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(body -> {
-            Thread thread = new Thread(body, "faults");
-            thread.setDaemon(true);
-            return thread;
-        });
+        ScheduledExecutorService timer =
+                Executors.newSingleThreadScheduledExecutor(
+                        body -> {
+                            Thread thread = new Thread(body, "faults");
+                            thread.setDaemon(true);
+                            return thread;
+                        });
         try (EventFile events = new EventFile(folder.resolve("events.jsonl"));
                 Field field = new Field(scenario, seeds, jar, folder, options)) {
             try {
@@ -75,19 +80,28 @@
         }
     }
 
-    private Result run(Progress progress, Seeds seeds, ScheduledExecutorService timer, EventFile events,
+    private Result run(
+            Progress progress,
+            Seeds seeds,
+            ScheduledExecutorService timer,
+            EventFile events,
             Field field)
             throws IOException, InterruptedException {
         long startNs = System.nanoTime();
         field.startProxies(scenario.proxies().readyWithin().toMillis());
-        events.add("all-ready", "after_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
+        events.add(
+                "all-ready",
+                "after_ms",
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs));
         Front front = new Front(field.proxies.stream().map(ProxyChild::listen).toList());
         for (ProxyChild proxy : field.proxies) {
             front.admit(proxy.number(), true);
             events.add("started", "target", proxy.name(), "pid", proxy.child().pid());
         }
         List<FaultPlan.Step> steps = FaultPlan.of(scenario);
-        LOG.info("load begins: {} requests a second for {}, {} faults", scenario.load().rate(),
+        LOG.info(
+                "load begins: {} requests a second for {}, {} faults",
+                scenario.load().rate(),
                 scenario.duration(),
                 steps.size());
         try (Load load = new Load(plan(), front, seeds)) {
@@ -95,9 +109,16 @@
             events.zero(beginNs);
             new FaultRunner(scenario, field, front, events, timer).schedule(steps, beginNs);
             load.begin(beginNs);
-            var reports = timer.scheduleAtFixedRate(() -> progress.accept(
-                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beginNs), load.soFar()),
-                    0, PROGRESS_MS, TimeUnit.MILLISECONDS);
+            var reports =
+                    timer.scheduleAtFixedRate(
+                            () ->
+                                    progress.accept(
+                                            TimeUnit.NANOSECONDS.toMillis(
+                                                    System.nanoTime() - beginNs),
+                                            load.soFar()),
+                            0,
+                            PROGRESS_MS,
+                            TimeUnit.MILLISECONDS);
             Tally tally = load.await();
             reports.cancel(false);
             events.add("load-ended", "offered", tally.offered());
@@ -115,7 +136,8 @@
         Map<String, Double> times = new LinkedHashMap<>();
         for (EventFile.Event event : events.all()) {
             if (event.what().equals("ready")) {
-                times.put(event.more().get("target") + " at " + event.atMs() + " ms",
+                times.put(
+                        event.more().get("target") + " at " + event.atMs() + " ms",
                         ((Number) event.more().get("after_ms")).doubleValue());
             }
         }
@@ -124,10 +146,21 @@
 
     private LoadPlan plan() {
         Scenario.LoadShape load = scenario.load();
-        return new LoadPlan(load.rate(), load.arrivals() == Scenario.Arrivals.EVEN, scenario.duration()
-                .toMillis(),
-                load.retries(), load.connections(), load.threads(), scenario.classes().stream()
-                .map(k -> new LoadPlan.Kind(k.name(), k.effect(), k.share(),
-                        TimeUnit.MICROSECONDS.convert(k.deadline()))).toList());
+        return new LoadPlan(
+                load.rate(),
+                load.arrivals() == Scenario.Arrivals.EVEN,
+                scenario.duration().toMillis(),
+                load.retries(),
+                load.connections(),
+                load.threads(),
+                scenario.classes().stream()
+                        .map(
+                                k ->
+                                        new LoadPlan.Kind(
+                                                k.name(),
+                                                k.effect(),
+                                                k.share(),
+                                                TimeUnit.MICROSECONDS.convert(k.deadline())))
+                        .toList());
     }
 }
--- a/src/main/java/passhatch/lab/drill/DrillCommand.java
+++ b/src/main/java/passhatch/lab/drill/DrillCommand.java
@@ -25,40 +25,65 @@
 import picocli.CommandLine.Spec;
 
 /** The command {@code drill} with what belongs to it. */
-@Command(name = "drill", mixinStandardHelpOptions = true,
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
         description = "Runs real processes of the program with faults between them.")
 public final class DrillCommand extends CommandGroup {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RESULT = "result.json";
 
-    private DrillCommand() { }
+    private DrillCommand() {}
 
     /** The command with its own commands. */
     public static CommandLine line() {
-        return new CommandLine(new DrillCommand()).addSubcommand(new Run()).addSubcommand(new Check())
+        return new CommandLine(new DrillCommand())
+                .addSubcommand(new Run())
+                .addSubcommand(new Check())
                 .addSubcommand(new Compare())
                 .addSubcommand(new Gauge());
     }
 
     /** Runs a scenario, as often as is wanted. */
-    @Command(name = "run", mixinStandardHelpOptions = true,
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
             description = "Runs a scenario. Exit code 0 only if all that it expects holds.")
     private static final class Run implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        @Spec private CommandSpec spec;
+
         @Parameters(paramLabel = "FILE", description = "The scenario, in TOML.")
         private Path file;
-        @Option(names = "--out", paramLabel = "DIR", defaultValue = "target/drill",
-                description = "Where all files go (default: ${DEFAULT-VALUE}); one folder for each repeat.")
+
+        @Option(
+                names = "--out",
+                paramLabel = "DIR",
+                defaultValue = "target/drill",
+                description =
+                        "Where all files go (default: ${DEFAULT-VALUE}); one folder for each"
+                                + " repeat.")
         private Path out;
-        @Option(names = "--repeat", paramLabel = "N", defaultValue = "1", description = "Runs it so often.")
+
+        @Option(
+                names = "--repeat",
+                paramLabel = "N",
+                defaultValue = "1",
+                description = "Runs it so often.")
         private int repeat;
-        @Option(names = "--jar", paramLabel = "JAR", description = "The program (default: beside this tool).")
+
+        @Option(
+                names = "--jar",
+                paramLabel = "JAR",
+                description = "The program (default: beside this tool).")
         private Path jar;
-        @Option(names = "--jvm", paramLabel = "OPTION", description =
-                "An option more for the program's JVMs.")
+
+        @Option(
+                names = "--jvm",
+                paramLabel = "OPTION",
+                description = "An option more for the program's JVMs.")
         private List<String> options = new ArrayList<>();
+
         @Option(names = "--quiet", description = "No line of progress.")
         private boolean quiet;
 
@@ -71,24 +96,35 @@
             Path program = program(jar);
             boolean holds = true;
             for (int i = 1; i <= repeat; i++) {
-                Path folder = out.resolve(scenario.name()).resolve(String.valueOf(i)).toAbsolutePath();
+                Path folder =
+                        out.resolve(scenario.name()).resolve(String.valueOf(i)).toAbsolutePath();
                 clear(folder);
                 LabLog.to(folder.resolve("lab.jsonl"));
-                holds &= report(run(new Drill(scenario, program, folder, options), scenario), folder);
+                holds &=
+                        report(
+                                run(new Drill(scenario, program, folder, options), scenario),
+                                folder);
             }
             return holds ? 0 : 1;
         }
 
-        private Result run(Drill drill, Scenario scenario) throws IOException, InterruptedException {
+        private Result run(Drill drill, Scenario scenario)
+                throws IOException, InterruptedException {
             if (quiet) {
-                return drill.run((ms, ended) -> { });
+                return drill.run((ms, ended) -> {});
             }
-            try (ProgressBar bar = new ProgressBarBuilder().setTaskName(scenario.name())
-                    .setInitialMax(scenario.duration().toMillis()).setUnit(" s", 1_000).hideEta().build()) {
-                return drill.run((ms, ended) -> {
-                    bar.stepTo(Math.max(0, Math.min(ms, scenario.duration().toMillis())));
-                    bar.setExtraMessage(ended[0] + " ended, " + ended[1] + " served");
-                });
+            try (ProgressBar bar =
+                    new ProgressBarBuilder()
+                            .setTaskName(scenario.name())
+                            .setInitialMax(scenario.duration().toMillis())
+                            .setUnit(" s", 1_000)
+                            .hideEta()
+                            .build()) {
+                return drill.run(
+                        (ms, ended) -> {
+                            bar.stepTo(Math.max(0, Math.min(ms, scenario.duration().toMillis())));
+                            bar.setExtraMessage(ended[0] + " ended, " + ended[1] + " served");
+                        });
             }
         }
 
@@ -96,30 +132,50 @@
             PrintWriter text = spec.commandLine().getOut();
             result.counts().forEach((name, n) -> text.printf(Locale.ROOT, "%-18s %10d%n", name, n));
             text.printf(Locale.ROOT, "%-18s %10.4f%n", "served share", result.servedShare());
-            result.latencyMs().forEach((name, ms) ->
-                    text.printf(Locale.ROOT, "%-18s %10.2f ms%n", "latency " + name, ms));
-            text.printf(Locale.ROOT, "%-18s %10.2f ms (99th percentile; void over the bound)%n", "sent late",
+            result.latencyMs()
+                    .forEach(
+                            (name, ms) ->
+                                    text.printf(
+                                            Locale.ROOT,
+                                            "%-18s %10.2f ms%n",
+                                            "latency " + name,
+                                            ms));
+            text.printf(
+                    Locale.ROOT,
+                    "%-18s %10.2f ms (99th percentile; void over the bound)%n",
+                    "sent late",
                     result.behindMs().get("p99"));
-            result.recoveries().forEach(r -> text.printf(Locale.ROOT, "%-18s %10s after '%s' at %d ms%n",
-                    "recovery",
-                    r.ms() == null ? "not back" : r.ms() + " ms", r.fault(), r.atMs()));
+            result.recoveries()
+                    .forEach(
+                            r ->
+                                    text.printf(
+                                            Locale.ROOT,
+                                            "%-18s %10s after '%s' at %d ms%n",
+                                            "recovery",
+                                            r.ms() == null ? "not back" : r.ms() + " ms",
+                                            r.fault(),
+                                            r.atMs()));
             result.broken().forEach(b -> text.println("NOT as expected: " + b));
             if (result.invalid() != null) {
                 text.println("VOID: " + result.invalid());
             }
-            text.println((result.holds() ? "All that was expected holds. " : "") + "Report: "
-                    + folder.resolve("report.html"));
+            text.println(
+                    (result.holds() ? "All that was expected holds. " : "")
+                            + "Report: "
+                            + folder.resolve("report.html"));
             text.flush();
             return result.holds();
         }
     }
 
     /** Checks scenarios without running them. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description =
-            "Checks scenarios and runs nothing.")
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = "Checks scenarios and runs nothing.")
     private static final class Check implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        @Spec private CommandSpec spec;
+
         @Parameters(paramLabel = "FILE", arity = "1..*", description = "Scenarios, in TOML.")
         private List<Path> files;
 
@@ -129,8 +185,9 @@
             for (Path file : files) {
                 try {
                     Scenario scenario = ScenarioReader.read(file);
-                    spec.commandLine().getOut().println(file + ": good, " + FaultPlan.of(scenario).size()
-                            + " steps");
+                    spec.commandLine()
+                            .getOut()
+                            .println(file + ": good, " + FaultPlan.of(scenario).size() + " steps");
                 } catch (BadInput wrong) {
                     spec.commandLine().getErr().println("passhatch: " + wrong.getMessage());
                     bad++;
@@ -141,20 +198,26 @@
     }
 
     /** Sets the results of two folders side by side. */
-    @Command(name = "compare", mixinStandardHelpOptions = true,
+    @Command(
+            name = "compare",
+            mixinStandardHelpOptions = true,
             description =
-                    "Sets two drills' results side by side, with confidence intervals over their repeats.")
+                    "Sets two drills' results side by side, with confidence intervals over their"
+                            + " repeats.")
     private static final class Compare implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        @Spec private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "A", description = "Folder of a drill's repeats.")
         private Path a;
+
         @Parameters(index = "1", paramLabel = "B", description = "Folder of another's.")
         private Path b;
 
         @Override
         public Integer call() throws IOException {
-            spec.commandLine().getOut().print(Comparison.text(Comparison.of(results(a), results(b))));
+            spec.commandLine()
+                    .getOut()
+                    .print(Comparison.text(Comparison.of(results(a), results(b))));
             return 0;
         }
 
@@ -197,8 +260,13 @@
 
     private static Path besideThis() {
         try {
-            Path own = Path.of(DrillCommand.class.getProtectionDomain().getCodeSource().getLocation()
-                    .toURI());
+            Path own =
+                    Path.of(
+                            DrillCommand.class
+                                    .getProtectionDomain()
+                                    .getCodeSource()
+                                    .getLocation()
+                                    .toURI());
             return own.resolveSibling("passhatch.jar");
         } catch (URISyntaxException cannotBe) {
             throw new IllegalStateException(cannotBe);
--- a/src/main/java/passhatch/lab/drill/EventFile.java
+++ b/src/main/java/passhatch/lab/drill/EventFile.java
@@ -19,7 +19,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** Something that happened; the time in milliseconds is negative before the load. */
-    record Event(long atMs, String what, Map<String, Object> more) { }
+    record Event(long atMs, String what, Map<String, Object> more) {}
 
     private final BufferedWriter out;
     private final List<Event> all = new ArrayList<>();
--- a/src/main/java/passhatch/lab/drill/FaultKind.java
+++ b/src/main/java/passhatch/lab/drill/FaultKind.java
@@ -63,7 +63,12 @@
     HEAL(On.PEERS);
 
     /** What a fault is done to. */
-    enum On { PROXY, BACKEND, DISCOVERY, PEERS }
+    enum On {
+        PROXY,
+        BACKEND,
+        DISCOVERY,
+        PEERS
+    }
 
     private final On on;
 
--- a/src/main/java/passhatch/lab/drill/FaultPlan.java
+++ b/src/main/java/passhatch/lab/drill/FaultPlan.java
@@ -7,8 +7,8 @@
 import java.util.stream.IntStream;
 
 /**
- * The steps that a scenario's faults come down to, in the order of their times: each fault for each of its
- * targets, and what undoes it. The same scenario always gives the same steps.
+ * The steps that a scenario's faults come down to, in the order of their times: each fault for each
+ * of its targets, and what undoes it. The same scenario always gives the same steps.
  */
 final class FaultPlan {
 
@@ -29,7 +29,7 @@
         }
     }
 
-    private FaultPlan() { }
+    private FaultPlan() {}
 
     static List<Step> of(Scenario scenario) {
         List<Step> steps = new ArrayList<>();
@@ -37,7 +37,12 @@
             for (int target : targets(scenario, fault)) {
                 steps.add(new Step(fault.at(), fault.kind(), target, fault));
                 if (fault.lasts() != null) {
-                    steps.add(new Step(fault.at().plus(fault.lasts()), fault.kind().undo(), target, fault));
+                    steps.add(
+                            new Step(
+                                    fault.at().plus(fault.lasts()),
+                                    fault.kind().undo(),
+                                    target,
+                                    fault));
                 }
             }
         }
@@ -54,10 +59,22 @@
         };
     }
 
-    /** Numbers from 0 of what names like proxy-1 mean; the word for all of them may stand among them. */
+    /**
+     * Numbers from 0 of what names like proxy-1 mean; the word for all of them may stand among
+     * them.
+     */
     static int[] numbers(List<String> names, String all, int count) {
-        return names.stream().flatMapToInt(name -> name.equals(all) ? IntStream.range(0, count)
-                : IntStream.of(Integer.parseInt(name.substring(name.lastIndexOf('-') + 1)) - 1)).distinct()
-                        .toArray();
+        return names.stream()
+                .flatMapToInt(
+                        name ->
+                                name.equals(all)
+                                        ? IntStream.range(0, count)
+                                        : IntStream.of(
+                                                Integer.parseInt(
+                                                                name.substring(
+                                                                        name.lastIndexOf('-') + 1))
+                                                        - 1))
+                .distinct()
+                .toArray();
     }
 }
--- a/src/main/java/passhatch/lab/drill/FaultRunner.java
+++ b/src/main/java/passhatch/lab/drill/FaultRunner.java
@@ -11,7 +11,9 @@
 import passhatch.lab.standin.DiscoveryServer;
 import passhatch.lab.standin.UdpRelay.Weather;
 
-/** Does the steps of a fault plan to what a drill has running; each is written down with its time. */
+/**
+ * Does the steps of a fault plan to what a drill has running; each is written down with its time.
+ */
 final class FaultRunner {
 
     private final Scenario scenario;
@@ -22,7 +24,11 @@
     private Weather weather = Weather.FAIR;
 
     /** The timer has one thread: steps are done one after another, in their order. */
-    FaultRunner(Scenario scenario, Field field, Front front, EventFile events,
+    FaultRunner(
+            Scenario scenario,
+            Field field,
+            Front front,
+            EventFile events,
             ScheduledExecutorService timer) {
         this.scenario = scenario;
         this.field = field;
@@ -34,7 +40,9 @@
     /** Has all steps done, each at its time after the load's begin. */
     void schedule(List<FaultPlan.Step> steps, long beginNs) {
         for (FaultPlan.Step step : steps) {
-            timer.schedule(() -> run(step), beginNs + step.at().toNanos() - System.nanoTime(),
+            timer.schedule(
+                    () -> run(step),
+                    beginNs + step.at().toNanos() - System.nanoTime(),
                     TimeUnit.NANOSECONDS);
         }
     }
@@ -49,7 +57,13 @@
             }
             events.add("fault", "do", step.kind().word(), "target", step.targetName());
         } catch (IOException | RuntimeException failed) {
-            events.add("fault-failed", "do", step.kind().word(), "target", step.targetName(), "why",
+            events.add(
+                    "fault-failed",
+                    "do",
+                    step.kind().word(),
+                    "target",
+                    step.targetName(),
+                    "why",
                     String.valueOf(failed.getMessage()));
         } catch (InterruptedException stop) {
             Thread.currentThread().interrupt();
@@ -84,7 +98,8 @@
         }
     }
 
-    private static void signal(ProxyChild proxy, String name) throws IOException, InterruptedException {
+    private static void signal(ProxyChild proxy, String name)
+            throws IOException, InterruptedException {
         if (!proxy.child().signal(name)) {
             throw new IOException(proxy.name() + " does not run");
         }
@@ -92,7 +107,9 @@
 
     /** The front stops sending to it some time later. */
     private void noticed(int number) {
-        timer.schedule(() -> front.admit(number, false), scenario.load().detect().toNanos(),
+        timer.schedule(
+                () -> front.admit(number, false),
+                scenario.load().detect().toNanos(),
                 TimeUnit.NANOSECONDS);
     }
 
@@ -100,32 +117,54 @@
     private void start(ProxyChild proxy) throws IOException {
         if (proxy.child().alive()) {
             // It has been told to end and has not yet: it is waited for.
-            timer.schedule(() -> {
-                try {
-                    start(proxy);
-                } catch (IOException failed) {
-                    events.add("fault-failed", "do", "start", "target", proxy.name(), "why",
-                            failed.getMessage());
-                }
-            }, 20, TimeUnit.MILLISECONDS);
+            timer.schedule(
+                    () -> {
+                        try {
+                            start(proxy);
+                        } catch (IOException failed) {
+                            events.add(
+                                    "fault-failed",
+                                    "do",
+                                    "start",
+                                    "target",
+                                    proxy.name(),
+                                    "why",
+                                    failed.getMessage());
+                        }
+                    },
+                    20,
+                    TimeUnit.MILLISECONDS);
             return;
         }
         proxy.child().start();
         long startedNs = System.nanoTime();
-        Thread waits = new Thread(() -> {
-            try {
-                if (proxy.awaitReady(scenario.proxies().readyWithin().toMillis())) {
-                    events.add("ready", "target", proxy.name(), "after_ms",
-                            TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs));
-                    front.hurt(proxy.number(), false);
-                    front.admit(proxy.number(), true);
-                } else {
-                    events.add("not-ready", "target", proxy.name(), "log", proxy.child().logEnd());
-                }
-            } catch (InterruptedException stop) {
-                Thread.currentThread().interrupt();
-            }
-        }, "await-" + proxy.name());
+        Thread waits =
+                new Thread(
+                        () -> {
+                            try {
+                                if (proxy.awaitReady(scenario.proxies().readyWithin().toMillis())) {
+                                    events.add(
+                                            "ready",
+                                            "target",
+                                            proxy.name(),
+                                            "after_ms",
+                                            TimeUnit.NANOSECONDS.toMillis(
+                                                    System.nanoTime() - startedNs));
+                                    front.hurt(proxy.number(), false);
+                                    front.admit(proxy.number(), true);
+                                } else {
+                                    events.add(
+                                            "not-ready",
+                                            "target",
+                                            proxy.name(),
+                                            "log",
+                                            proxy.child().logEnd());
+                                }
+                            } catch (InterruptedException stop) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "await-" + proxy.name());
         waits.setDaemon(true);
         waits.start();
     }
@@ -157,8 +196,10 @@
     }
 
     private void list(BackendServer backend, String status, long sinceMs) {
-        field.discovery.update(List.of(new DiscoveryServer.Entry(backend.name(), backend.address(), status,
-                sinceMs)));
+        field.discovery.update(
+                List.of(
+                        new DiscoveryServer.Entry(
+                                backend.name(), backend.address(), status, sinceMs)));
     }
 
     private void discovery(FaultPlan.Step step) throws IOException {
@@ -179,15 +220,45 @@
         long us = TimeUnit.MICROSECONDS.convert(step.of().by());
         Weather w = weather;
         switch (step.kind()) {
-            case LOSE -> weather = new Weather(share, w.doubled(), w.cut(), w.reordered(), w.delayUs(),
-                    w.jitterUs());
-            case DOUBLE -> weather = new Weather(w.lost(), share, w.cut(), w.reordered(), w.delayUs(),
-                    w.jitterUs());
-            case CUT -> weather = new Weather(w.lost(), w.doubled(), share, w.reordered(), w.delayUs(),
-                    w.jitterUs());
-            case REORDER -> weather = new Weather(w.lost(), w.doubled(), w.cut(), share, w.delayUs(),
-                    w.jitterUs());
-            case DELAY -> weather = new Weather(w.lost(), w.doubled(), w.cut(), w.reordered(), us, us / 2);
+            case LOSE ->
+                    weather =
+                            new Weather(
+                                    share,
+                                    w.doubled(),
+                                    w.cut(),
+                                    w.reordered(),
+                                    w.delayUs(),
+                                    w.jitterUs());
+            case DOUBLE ->
+                    weather =
+                            new Weather(
+                                    w.lost(),
+                                    share,
+                                    w.cut(),
+                                    w.reordered(),
+                                    w.delayUs(),
+                                    w.jitterUs());
+            case CUT ->
+                    weather =
+                            new Weather(
+                                    w.lost(),
+                                    w.doubled(),
+                                    share,
+                                    w.reordered(),
+                                    w.delayUs(),
+                                    w.jitterUs());
+            case REORDER ->
+                    weather =
+                            new Weather(
+                                    w.lost(),
+                                    w.doubled(),
+                                    w.cut(),
+                                    share,
+                                    w.delayUs(),
+                                    w.jitterUs());
+            case DELAY ->
+                    weather =
+                            new Weather(w.lost(), w.doubled(), w.cut(), w.reordered(), us, us / 2);
             case ONE_WAY, PARTITION -> field.relay.connected(connected(step));
             default -> {
                 weather = Weather.FAIR;
@@ -205,7 +276,8 @@
             Arrays.stream(FaultPlan.numbers(step.of().groups().get(g), "proxies", count))
                     .forEach(n -> groupOf[n] = group);
         }
-        return step.kind() == FaultKind.ONE_WAY ? (from, to) -> groupOf[from] != 1
+        return step.kind() == FaultKind.ONE_WAY
+                ? (from, to) -> groupOf[from] != 1
                 : (from, to) -> groupOf[from] == groupOf[to];
     }
 }
--- a/src/main/java/passhatch/lab/drill/Field.java
+++ b/src/main/java/passhatch/lab/drill/Field.java
@@ -5,9 +5,9 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.DatagramSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,30 +24,41 @@
 
     /** Longer than the program may take to end: the longest deadline that counts and 0.7 s. */
     private static final long END_PATIENCE_MS = 5_000;
+
     private static final int STAND_IN_THREADS = 2;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(STAND_IN_THREADS,
-            new DefaultThreadFactory("stand-in", true), NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(
+                    STAND_IN_THREADS,
+                    new DefaultThreadFactory("stand-in", true),
+                    NioIoHandler.newFactory());
     final Ledger ledger = new Ledger();
     final DiscoveryServer discovery = new DiscoveryServer(group.next());
     final List<BackendServer> backends = new ArrayList<>();
     final List<ProxyChild> proxies = new ArrayList<>();
     UdpRelay relay;
+
     /** Ends the processes also where this JVM is told to end. */
     private final Thread lastResort = new Thread(this::endNow, "end-of-drill");
+
     private boolean closed;
 
     /** Starts the stand-ins; the processes are made and not started. */
-    Field(Scenario scenario, Seeds seeds, Path jar, Path folder, List<String> options) throws IOException {
+    Field(Scenario scenario, Seeds seeds, Path jar, Path folder, List<String> options)
+            throws IOException {
         Runtime.getRuntime().addShutdownHook(lastResort);
         try {
             discovery.start();
             List<DiscoveryServer.Entry> list = new ArrayList<>();
             for (int i = 1; i <= scenario.backends().count(); i++) {
                 String name = "backend-" + i;
-                BackendServer backend = new BackendServer(name, shape(scenario.backends()), group.next(),
-                        ledger,
-                        seeds.stream(name));
+                BackendServer backend =
+                        new BackendServer(
+                                name,
+                                shape(scenario.backends()),
+                                group.next(),
+                                ledger,
+                                seeds.stream(name));
                 backend.start();
                 backends.add(backend);
                 list.add(new DiscoveryServer.Entry(name, backend.address(), "SERVING", 0));
@@ -67,9 +78,17 @@
     }
 
     private static BackendServer.Shape shape(Scenario.Backends b) {
-        return new BackendServer.Shape(b.cores(), b.slots(), b.queue(), b.connections(),
-                new ServiceTime(b.service().distribution(), TimeUnit.MICROSECONDS.convert(b.service().mean()),
-                        b.service().sigma()), b.coldShare(), TimeUnit.MICROSECONDS.convert(b.coldFor()));
+        return new BackendServer.Shape(
+                b.cores(),
+                b.slots(),
+                b.queue(),
+                b.connections(),
+                new ServiceTime(
+                        b.service().distribution(),
+                        TimeUnit.MICROSECONDS.convert(b.service().mean()),
+                        b.service().sigma()),
+                b.coldShare(),
+                TimeUnit.MICROSECONDS.convert(b.coldFor()));
     }
 
     private static InetSocketAddress freeDatagramPort() throws IOException {
@@ -85,9 +104,13 @@
         }
         for (ProxyChild proxy : proxies) {
             if (!proxy.awaitReady(readyWithinMs)) {
-                throw new IOException(proxy.name() + (proxy.child().alive() ? " did not get ready" : " ended")
-                        + " within " + readyWithinMs + " ms of its start; the end of its log:\n"
-                        + proxy.child().logEnd());
+                throw new IOException(
+                        proxy.name()
+                                + (proxy.child().alive() ? " did not get ready" : " ended")
+                                + " within "
+                                + readyWithinMs
+                                + " ms of its start; the end of its log:\n"
+                                + proxy.child().logEnd());
             }
         }
     }
@@ -99,8 +122,10 @@
             return;
         }
         closed = true;
-        List<Thread> ends = proxies.stream().map(p -> new Thread(() -> p.child().end(END_PATIENCE_MS)))
-                .toList();
+        List<Thread> ends =
+                proxies.stream()
+                        .map(p -> new Thread(() -> p.child().end(END_PATIENCE_MS)))
+                        .toList();
         ends.forEach(Thread::start);
         for (Thread end : ends) {
             try {
--- a/src/main/java/passhatch/lab/drill/Gauge.java
+++ b/src/main/java/passhatch/lab/drill/Gauge.java
@@ -22,33 +22,62 @@
 import picocli.CommandLine.Spec;
 
 /** Measures what the load tool can give, against stand-ins alone: no drill should ask for more. */
-@Command(name = "gauge", mixinStandardHelpOptions = true,
-        description = "Measures the load tool against stand-in backends alone, with no proxy between.")
+@Command(
+        name = "gauge",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures the load tool against stand-in backends alone, with no proxy between.")
 final class Gauge implements Callable<Integer> {
 
     private static final long WORK_US = 200;
     private static final double WARM_UP = 2_000;
     private static final int CONNECTIONS = 256;
 
-    @Spec
-    private CommandSpec spec;
-    @Option(names = "--rate", defaultValue = "20000", description = "Requests a second (${DEFAULT-VALUE}).")
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--rate",
+            defaultValue = "20000",
+            description = "Requests a second (${DEFAULT-VALUE}).")
     private double rate;
+
     @Option(names = "--seconds", defaultValue = "5", description = "How long (${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--threads", defaultValue = "2", description = "Of the load, and of the stand-ins.")
+
+    @Option(
+            names = "--threads",
+            defaultValue = "2",
+            description = "Of the load, and of the stand-ins.")
     private int threads;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        var group = new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory("stand-in", true),
-                NioIoHandler.newFactory());
+        var group =
+                new MultiThreadIoEventLoopGroup(
+                        threads,
+                        new DefaultThreadFactory("stand-in", true),
+                        NioIoHandler.newFactory());
         Ledger ledger = new Ledger();
         Seeds seeds = new Seeds(1);
-        var shape = new BackendServer.Shape(CONNECTIONS, CONNECTIONS, 1 << 16, 1 << 12,
-                new ServiceTime(ServiceTime.Distribution.CONSTANT, WORK_US, 0), 1, 0);
-        List<BackendServer> backends = java.util.stream.IntStream.range(0, threads).mapToObj(i ->
-                new BackendServer("backend-" + i, shape, group.next(), ledger, seeds.stream("b" + i)))
+        var shape =
+                new BackendServer.Shape(
+                        CONNECTIONS,
+                        CONNECTIONS,
+                        1 << 16,
+                        1 << 12,
+                        new ServiceTime(ServiceTime.Distribution.CONSTANT, WORK_US, 0),
+                        1,
+                        0);
+        List<BackendServer> backends =
+                java.util.stream.IntStream.range(0, threads)
+                        .mapToObj(
+                                i ->
+                                        new BackendServer(
+                                                "backend-" + i,
+                                                shape,
+                                                group.next(),
+                                                ledger,
+                                                seeds.stream("b" + i)))
                         .toList();
         for (BackendServer backend : backends) {
             backend.start();
@@ -59,14 +88,19 @@
             // A JVM that has just started is slow: what it gives then is not what it can give.
             give(WARM_UP, 3, front, seeds);
             Tally tally = give(rate, seconds, front, seeds);
-            spec.commandLine().getOut().printf(Locale.ROOT,
-                    "%d offered in %d s, %d served, latency median %.2f ms, "
-                    + "p99 %.2f ms; sent later than due: median %.2f ms, p99 %.2f ms%n", tally.offered(),
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            Locale.ROOT,
+                            "%d offered in %d s, %d served, latency median %.2f ms, p99 %.2f ms;"
+                                    + " sent later than due: median %.2f ms, p99 %.2f ms%n",
+                            tally.offered(),
                             seconds,
-                    tally.count(Outcome.SERVED), tally.latencyUs().getValueAtPercentile(50) / 1e3,
-                    tally.latencyUs().getValueAtPercentile(99) / 1e3,
-                    tally.behindUs().getValueAtPercentile(50) / 1e3,
-                    tally.behindUs().getValueAtPercentile(99) / 1e3);
+                            tally.count(Outcome.SERVED),
+                            tally.latencyUs().getValueAtPercentile(50) / 1e3,
+                            tally.latencyUs().getValueAtPercentile(99) / 1e3,
+                            tally.behindUs().getValueAtPercentile(50) / 1e3,
+                            tally.behindUs().getValueAtPercentile(99) / 1e3);
             return tally.count(Outcome.SERVED) == tally.offered() ? 0 : 1;
         } finally {
             backends.forEach(BackendServer::close);
@@ -76,8 +110,15 @@
 
     private Tally give(double perSecond, int forSeconds, Front front, Seeds seeds)
             throws InterruptedException {
-        LoadPlan plan = new LoadPlan(perSecond, false, forSeconds * 1_000L, 0, CONNECTIONS, threads,
-                List.of(new LoadPlan.Kind("look", LoadPlan.Effect.SAFE, 1, 1_000_000)));
+        LoadPlan plan =
+                new LoadPlan(
+                        perSecond,
+                        false,
+                        forSeconds * 1_000L,
+                        0,
+                        CONNECTIONS,
+                        threads,
+                        List.of(new LoadPlan.Kind("look", LoadPlan.Effect.SAFE, 1, 1_000_000)));
         try (Load load = new Load(plan, front, seeds)) {
             load.begin(System.nanoTime());
             return load.await();
--- a/src/main/java/passhatch/lab/drill/Judge.java
+++ b/src/main/java/passhatch/lab/drill/Judge.java
@@ -16,13 +16,19 @@
 
     /** Service is back when this part of the requests is served again. */
     private static final double BACK = 0.95;
+
     /** Steps that are looked at together, so that few requests do not make a chance result. */
     private static final int WINDOW_STEPS = 1_000 / Tally.STEP_MS;
+
     private static final double[] QUANTILES = {50, 90, 99, 99.9, 100};
 
-    private Judge() { }
+    private Judge() {}
 
-    static Result judge(Scenario scenario, Tally tally, Ledger ledger, List<FaultPlan.Step> steps,
+    static Result judge(
+            Scenario scenario,
+            Tally tally,
+            Ledger ledger,
+            List<FaultPlan.Step> steps,
             Map<String, Double> readyMs) {
         Map<String, Long> counts = new LinkedHashMap<>();
         counts.put("offered", tally.offered());
@@ -34,24 +40,44 @@
         counts.put("duplicates", ledger.duplicates());
         counts.put("too_often", ledger.tooOften());
         counts.put("after_drain", ledger.drainBroken());
-        double share = tally.offered() == 0 ? 0 : (double) tally.count(Outcome.SERVED) / tally.offered();
+        double share =
+                tally.offered() == 0 ? 0 : (double) tally.count(Outcome.SERVED) / tally.offered();
         List<Result.Recovery> recoveries = recoveries(tally, steps, scenario.duration());
         Map<String, Double> latency = quantiles(tally.latencyUs());
         Map<String, Double> behind = quantiles(tally.behindUs());
         double bound = millis(scenario.load().behind());
-        String invalid = behind.get("p99") <= bound ? null : String.format(Locale.ROOT,
-                "the machine is too busy: a hundredth of the requests went out over %.1f ms late; "
-                + "%.1f ms is the bound", behind.get("p99"), bound);
-        return new Result(scenario.name(), scenario.seed(), share, counts, latency, recoveries, behind,
+        String invalid =
+                behind.get("p99") <= bound
+                        ? null
+                        : String.format(
+                                Locale.ROOT,
+                                "the machine is too busy: a hundredth of the requests went out over"
+                                        + " %.1f ms late; %.1f ms is the bound",
+                                behind.get("p99"),
+                                bound);
+        return new Result(
+                scenario.name(),
+                scenario.seed(),
+                share,
+                counts,
+                latency,
+                recoveries,
+                behind,
                 readyMs,
-                broken(scenario.expect(), share, counts, latency, recoveries), invalid);
+                broken(scenario.expect(), share, counts, latency, recoveries),
+                invalid);
     }
 
     private static Map<String, Double> quantiles(Histogram us) {
         Map<String, Double> all = new LinkedHashMap<>();
         for (double q : QUANTILES) {
-            String name = q == 100 ? "max" : "p" + (q == Math.rint(q) ? String.valueOf((int) q)
-                    : String.valueOf(q));
+            String name =
+                    q == 100
+                            ? "max"
+                            : "p"
+                                    + (q == Math.rint(q)
+                                            ? String.valueOf((int) q)
+                                            : String.valueOf(q));
             all.put(name, us.getValueAtPercentile(q) / 1e3);
         }
         return all;
@@ -61,22 +87,33 @@
         return d.toNanos() / 1e6;
     }
 
-    private static List<Result.Recovery> recoveries(Tally tally, List<FaultPlan.Step> steps, Duration end) {
+    private static List<Result.Recovery> recoveries(
+            Tally tally, List<FaultPlan.Step> steps, Duration end) {
         List<Result.Recovery> all = new ArrayList<>();
         List<FaultPlan.Step> harms = steps.stream().filter(s -> !s.kind().undoes()).toList();
         for (int i = 0; i < harms.size(); i++) {
             FaultPlan.Step fault = harms.get(i);
             long atMs = fault.at().toMillis();
-            long untilMs = harms.stream().skip(i + 1).mapToLong(s -> s.at().toMillis())
-                    .filter(ms -> ms > atMs)
-                    .findFirst().orElse(end.toMillis());
-            all.add(new Result.Recovery(fault.kind().word() + " " + fault.targetName(), atMs,
-                    recovery(tally.steps(), atMs, untilMs)));
+            long untilMs =
+                    harms.stream()
+                            .skip(i + 1)
+                            .mapToLong(s -> s.at().toMillis())
+                            .filter(ms -> ms > atMs)
+                            .findFirst()
+                            .orElse(end.toMillis());
+            all.add(
+                    new Result.Recovery(
+                            fault.kind().word() + " " + fault.targetName(),
+                            atMs,
+                            recovery(tally.steps(), atMs, untilMs)));
         }
         return all;
     }
 
-    /** Time from a fault to the end of the last window before the next one in which too few were served. */
+    /**
+     * Time from a fault to the end of the last window before the next one in which too few were
+     * served.
+     */
     static Long recovery(List<Tally.Step> steps, long atMs, long untilMs) {
         int first = (int) (atMs / Tally.STEP_MS);
         int last = (int) Math.min(steps.size(), untilMs / Tally.STEP_MS);
@@ -89,7 +126,8 @@
                 offered += step.offered();
                 served += step.count(Outcome.SERVED);
             }
-            if (served < BACK * offered && steps.get(i).count(Outcome.SERVED) < steps.get(i).offered()) {
+            if (served < BACK * offered
+                    && steps.get(i).count(Outcome.SERVED) < steps.get(i).offered()) {
                 lastBad = i;
             }
         }
@@ -99,13 +137,20 @@
         return lastBad == last - 1 ? null : (lastBad + 1) * (long) Tally.STEP_MS - atMs;
     }
 
-    private static List<String> broken(Scenario.Expect expect, double share, Map<String, Long> counts,
-            Map<String, Double> latency, List<Result.Recovery> recoveries) {
+    private static List<String> broken(
+            Scenario.Expect expect,
+            double share,
+            Map<String, Long> counts,
+            Map<String, Double> latency,
+            List<Result.Recovery> recoveries) {
         List<String> broken = new ArrayList<>();
         if (expect.served() != null && share < expect.served()) {
-            broken.add(String.format(Locale.ROOT,
-                    "served: %.4f of the requests, and at least %.4f is expected",
-                    share, expect.served()));
+            broken.add(
+                    String.format(
+                            Locale.ROOT,
+                            "served: %.4f of the requests, and at least %.4f is expected",
+                            share,
+                            expect.served()));
         }
         Map<String, Long> most = new LinkedHashMap<>();
         most.put("late", expect.late());
@@ -117,20 +162,41 @@
         most.put("duplicates", expect.duplicates());
         most.put("too_often", expect.tooOften());
         most.put("after_drain", expect.afterDrain());
-        most.forEach((name, limit) -> {
-            if (limit != null && counts.get(name) > limit) {
-                broken.add(name + ": " + counts.get(name) + ", and at most " + limit + " is expected");
-            }
-        });
+        most.forEach(
+                (name, limit) -> {
+                    if (limit != null && counts.get(name) > limit) {
+                        broken.add(
+                                name
+                                        + ": "
+                                        + counts.get(name)
+                                        + ", and at most "
+                                        + limit
+                                        + " is expected");
+                    }
+                });
         if (expect.recovery() != null) {
-            recoveries.stream().filter(r -> r.ms() == null || r.ms() > expect.recovery().toMillis())
-                    .forEach(r -> broken.add("recovery: after '" + r.fault() + "' at " + r.atMs() + " ms "
-                            + (r.ms() == null ? "not back" : r.ms() + " ms") + ", and at most "
-                            + expect.recovery().toMillis() + " ms is expected"));
+            recoveries.stream()
+                    .filter(r -> r.ms() == null || r.ms() > expect.recovery().toMillis())
+                    .forEach(
+                            r ->
+                                    broken.add(
+                                            "recovery: after '"
+                                                    + r.fault()
+                                                    + "' at "
+                                                    + r.atMs()
+                                                    + " ms "
+                                                    + (r.ms() == null ? "not back" : r.ms() + " ms")
+                                                    + ", and at most "
+                                                    + expect.recovery().toMillis()
+                                                    + " ms is expected"));
         }
         if (expect.p99() != null && latency.get("p99") > millis(expect.p99())) {
-            broken.add("p99: " + latency.get("p99") + " ms, and at most " + millis(expect.p99())
-                    + " is expected");
+            broken.add(
+                    "p99: "
+                            + latency.get("p99")
+                            + " ms, and at most "
+                            + millis(expect.p99())
+                            + " is expected");
         }
         return broken;
     }
--- a/src/main/java/passhatch/lab/drill/Local.java
+++ b/src/main/java/passhatch/lab/drill/Local.java
@@ -13,7 +13,7 @@
 
     private static final int ASK_WITHIN_MS = 1_000;
 
-    private Local() { }
+    private Local() {}
 
     /** An address that is free now; another may take it before it is used. */
     static InetSocketAddress freePort() throws IOException {
@@ -23,7 +23,8 @@
     }
 
     static String text(InetSocketAddress address) {
-        return String.format(Locale.ROOT, "%s:%d", address.getAddress().getHostAddress(), address.getPort());
+        return String.format(
+                Locale.ROOT, "%s:%d", address.getAddress().getHostAddress(), address.getPort());
     }
 
     /** What a control address answers to a call; nothing where it does not answer. */
--- a/src/main/java/passhatch/lab/drill/ProxyChild.java
+++ b/src/main/java/passhatch/lab/drill/ProxyChild.java
@@ -15,13 +15,19 @@
 final class ProxyChild {
 
     private static final ObjectMapper JSON = new ObjectMapper();
+
     /** A port may be taken by another between its choice and its use. */
     private static final int TRIES = 3;
+
     private static final long POLL_MS = 10;
 
     /** What all proxies of a drill have in common. */
-    record Shared(Path jar, Path folder, Scenario scenario, InetSocketAddress discovery,
-            List<String> options) { }
+    record Shared(
+            Path jar,
+            Path folder,
+            Scenario scenario,
+            InetSocketAddress discovery,
+            List<String> options) {}
 
     private final int number;
     private final Shared shared;
@@ -33,7 +39,8 @@
     private Child child;
 
     /** A proxy that is not started yet; its folder is made. */
-    ProxyChild(int number, Shared shared, List<InetSocketAddress> peers, InetSocketAddress peerListen)
+    ProxyChild(
+            int number, Shared shared, List<InetSocketAddress> peers, InetSocketAddress peerListen)
             throws IOException {
         this.number = number;
         this.shared = shared;
@@ -69,20 +76,41 @@
         Path tmp = Files.createDirectories(folder.resolve("tmp"));
         Path config = folder.resolve("config.json");
         Files.writeString(config, JSON.writeValueAsString(configuration()));
-        Map<String, String> env = Map.of("PROXY_NAME", name(), "PROXY_LISTEN", Local.text(listen),
-                "PROXY_CONTROL", Local.text(control), "PROXY_DISCOVERY", Local.text(shared.discovery()),
-                "PROXY_CONFIG", config.toString(), "TMPDIR", tmp.toString());
+        Map<String, String> env =
+                Map.of(
+                        "PROXY_NAME",
+                        name(),
+                        "PROXY_LISTEN",
+                        Local.text(listen),
+                        "PROXY_CONTROL",
+                        Local.text(control),
+                        "PROXY_DISCOVERY",
+                        Local.text(shared.discovery()),
+                        "PROXY_CONFIG",
+                        config.toString(),
+                        "TMPDIR",
+                        tmp.toString());
         child = new Child(name(), command(), env, folder.resolve("log"));
     }
 
     /** As {@code deploy/serve.sh} starts it. */
     private List<String> command() {
         int heap = Math.max(24, Math.min(48, shared.scenario().proxies().memoryMb() / 3));
-        List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-XX:-UsePerfData", "-Xshare:auto", "-Xms24m",
-                "-Xmx" + heap + "m", "-Xss512k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m",
-                "-XX:MaxDirectMemorySize=" + heap / 3 + "m", "-Dio.netty.jfr.enabled=false"));
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-XX:TieredStopAtLevel=1",
+                                "-XX:+UseSerialGC",
+                                "-XX:-UsePerfData",
+                                "-Xshare:auto",
+                                "-Xms24m",
+                                "-Xmx" + heap + "m",
+                                "-Xss512k",
+                                "-XX:MaxMetaspaceSize=40m",
+                                "-XX:ReservedCodeCacheSize=24m",
+                                "-XX:MaxDirectMemorySize=" + heap / 3 + "m",
+                                "-Dio.netty.jfr.enabled=false"));
         command.addAll(shared.options());
         command.addAll(List.of("-jar", shared.jar().toString(), "serve"));
         return command;
@@ -97,18 +125,50 @@
         settings.put("balancers", s.proxies().count());
         settings.put("me", number);
         settings.put("discovery", "pushed");
-        settings.put("limits", Map.of("maxAttempts", s.proxies().retries() ? 3 : 1, "cancel", true, "probes",
-                false,
-                "retryAfter", true, "maxRetryAfterUs", 2_000_000, "maxStreams", 1, "keepaliveUs", 10_000_000,
-                "connectTimeoutUs", 250_000));
-        settings.put("rules", Map.of("drainGraceUs", 750_000, "coldFrom", s.backends().coldShare(), "coldUs",
-                Math.max(1, TimeUnit.MICROSECONDS.convert(s.backends().coldFor())), "tipMultiple", 2.5,
-                        "overloadForUs", 1_000_000));
+        settings.put(
+                "limits",
+                Map.of(
+                        "maxAttempts",
+                        s.proxies().retries() ? 3 : 1,
+                        "cancel",
+                        true,
+                        "probes",
+                        false,
+                        "retryAfter",
+                        true,
+                        "maxRetryAfterUs",
+                        2_000_000,
+                        "maxStreams",
+                        1,
+                        "keepaliveUs",
+                        10_000_000,
+                        "connectTimeoutUs",
+                        250_000));
+        settings.put(
+                "rules",
+                Map.of(
+                        "drainGraceUs",
+                        750_000,
+                        "coldFrom",
+                        s.backends().coldShare(),
+                        "coldUs",
+                        Math.max(1, TimeUnit.MICROSECONDS.convert(s.backends().coldFor())),
+                        "tipMultiple",
+                        2.5,
+                        "overloadForUs",
+                        1_000_000));
         Map<String, Object> config = new HashMap<>();
         config.put("name", name());
         config.put("seed", Long.toHexString(s.seed() * 1_000_003 + number));
-        config.put("limits", Map.of("cores", 1.0, "memory_mb", s.proxies().memoryMb(), "sockets",
-                s.proxies().sockets()));
+        config.put(
+                "limits",
+                Map.of(
+                        "cores",
+                        1.0,
+                        "memory_mb",
+                        s.proxies().memoryMb(),
+                        "sockets",
+                        s.proxies().sockets()));
         config.put("listen", Local.text(listen));
         config.put("control", Local.text(control));
         config.put("discovery", Local.text(shared.discovery()));
@@ -119,23 +179,38 @@
     }
 
     private static Map<String, Object> category(Scenario.RequestKind kind) {
-        String effect = switch (kind.effect()) {
-            case SAFE -> "pure";
-            case KEYED -> "token";
-            case UNSAFE -> "side_effect";
-        };
-        return Map.of("name", kind.name(), "effect", effect, "goalTimeUs",
-                TimeUnit.MICROSECONDS.convert(kind.aim()), "deadlineUs",
-                TimeUnit.MICROSECONDS.convert(kind.deadline()), "worth", 1, "dedupWindowUs", 6_000_000,
-                        "group", "all");
+        String effect =
+                switch (kind.effect()) {
+                    case SAFE -> "pure";
+                    case KEYED -> "token";
+                    case UNSAFE -> "side_effect";
+                };
+        return Map.of(
+                "name",
+                kind.name(),
+                "effect",
+                effect,
+                "goalTimeUs",
+                TimeUnit.MICROSECONDS.convert(kind.aim()),
+                "deadlineUs",
+                TimeUnit.MICROSECONDS.convert(kind.deadline()),
+                "worth",
+                1,
+                "dedupWindowUs",
+                6_000_000,
+                "group",
+                "all");
     }
 
     /** Starts it for the first time; where its port was taken meanwhile, at others. */
     void firstStart() throws IOException, InterruptedException {
         for (int i = 1; ; i++) {
             child.start();
-            // A taken port shows as an end within the start; all else shows later, as it does not get ready.
-            if (awaitListeningOrEnd() || i == TRIES || !child.logEnd().contains("Address already in use")) {
+            // A taken port shows as an end within the start; all else shows later, as it does not
+            // get ready.
+            if (awaitListeningOrEnd()
+                    || i == TRIES
+                    || !child.logEnd().contains("Address already in use")) {
                 return;
             }
             chooseAddresses();
--- a/src/main/java/passhatch/lab/drill/ReportPage.java
+++ b/src/main/java/passhatch/lab/drill/ReportPage.java
@@ -19,51 +19,81 @@
 import passhatch.lab.load.Outcome;
 import passhatch.lab.load.Tally;
 
-/** The report of a run as one HTML file: rates, latency and faults on one time axis, and the result. */
+/**
+ * The report of a run as one HTML file: rates, latency and faults on one time axis, and the result.
+ */
 final class ReportPage {
 
     private static final int WIDTH = 1000;
     private static final int HEIGHT = 260;
 
-    private ReportPage() { }
+    private ReportPage() {}
 
-    static void write(Path file, Scenario scenario, Result result, Tally tally, List<EventFile.Event> events)
+    static void write(
+            Path file, Scenario scenario, Result result, Tally tally, List<EventFile.Event> events)
             throws IOException {
-        StringBuilder page = new StringBuilder("<!doctype html><meta charset=utf-8><title>")
-                .append(escape(scenario.name()))
+        StringBuilder page =
+                new StringBuilder("<!doctype html><meta charset=utf-8><title>")
+                        .append(escape(scenario.name()))
                         .append("</title><style>body{font:14px sans-serif;max-width:1040px;")
-                .append("margin:2em auto}table{border-collapse:collapse}td,th{text-align:left;")
-                .append("padding:2px 12px;border-bottom:1px solid #ddd}.bad{color:#b00}</style><h1>")
+                        .append(
+                                "margin:2em"
+                                    + " auto}table{border-collapse:collapse}td,th{text-align:left;")
+                        .append(
+                                "padding:2px 12px;border-bottom:1px solid"
+                                        + " #ddd}.bad{color:#b00}</style><h1>")
                         .append(escape(scenario.name()))
-                .append("</h1><p>").append(escape(scenario.about())).append("</p><h2>")
-                .append(result.holds() ? "All that was expected holds"
-                        : "<span class=bad>Not as expected</span>")
-                .append("</h2><ul class=bad>");
+                        .append("</h1><p>")
+                        .append(escape(scenario.about()))
+                        .append("</p><h2>")
+                        .append(
+                                result.holds()
+                                        ? "All that was expected holds"
+                                        : "<span class=bad>Not as expected</span>")
+                        .append("</h2><ul class=bad>");
         result.broken().forEach(b -> page.append("<li>").append(escape(b)));
         if (result.invalid() != null) {
             page.append("<li>").append(escape(result.invalid()));
         }
         page.append("</ul>");
-        List<Double> marks = events.stream().filter(e -> e.what().equals("fault")).map(e -> e.atMs() / 1e3)
-                .toList();
+        List<Double> marks =
+                events.stream()
+                        .filter(e -> e.what().equals("fault"))
+                        .map(e -> e.atMs() / 1e3)
+                        .toList();
         page.append(svg(rates(tally, marks))).append(svg(latency(tally, marks)));
         table(page, "Requests", result.counts());
         table(page, "Latency from when they were due, ms", result.latencyMs());
         table(page, "Sent later than due, ms", result.behindMs());
         table(page, "Ready after a start, ms", result.readyMs());
         page.append("<h2>Recovery</h2><table><tr><th>fault<th>at, ms<th>back at 95 % after, ms");
-        result.recoveries().forEach(r -> page.append("<tr><td>").append(escape(r.fault())).append("<td>")
-                .append(r.atMs()).append("<td>").append(r.ms() == null ? "not back" : r.ms()));
+        result.recoveries()
+                .forEach(
+                        r ->
+                                page.append("<tr><td>")
+                                        .append(escape(r.fault()))
+                                        .append("<td>")
+                                        .append(r.atMs())
+                                        .append("<td>")
+                                        .append(r.ms() == null ? "not back" : r.ms()));
         page.append("</table><h2>Events</h2><table>");
-        events.forEach(e -> page.append("<tr><td>").append(e.atMs()).append("<td>").append(escape(e.what()))
-                .append("<td>").append(escape(String.valueOf(e.more()))));
+        events.forEach(
+                e ->
+                        page.append("<tr><td>")
+                                .append(e.atMs())
+                                .append("<td>")
+                                .append(escape(e.what()))
+                                .append("<td>")
+                                .append(escape(String.valueOf(e.more()))));
         Files.writeString(file, page.append("</table>"));
     }
 
-    private static void table(StringBuilder page, String title, Map<String, ? extends Number> rows) {
+    private static void table(
+            StringBuilder page, String title, Map<String, ? extends Number> rows) {
         page.append("<h2>").append(title).append("</h2><table>");
-        rows.forEach((name, value) -> page.append("<tr><td>").append(escape(name)).append("<td>")
-                .append(value));
+        rows.forEach(
+                (name, value) ->
+                        page.append("<tr><td>").append(escape(name)).append("<td>").append(value));
         page.append("</table>");
     }
 
@@ -73,33 +103,68 @@
         add(chart, "offered", tally, s -> s.offered() * perSecond, Color.LIGHT_GRAY);
         add(chart, "served", tally, s -> s.count(Outcome.SERVED) * perSecond, new Color(0x2a7f3f));
         add(chart, "late", tally, s -> s.count(Outcome.LATE) * perSecond, new Color(0xd9a400));
-        add(chart, "refused or failed", tally,
-                s -> (s.count(Outcome.REFUSED) + s.count(Outcome.FAILED)) * perSecond, new Color(0xc04000));
-        add(chart, "cut, lost or spoilt", tally, s -> (s.count(Outcome.CUT) + s.count(Outcome.LOST)
-                + s.count(Outcome.SPOILT)) * perSecond, new Color(0x600060));
-        faults(chart, marks, tally.steps().stream().mapToDouble(s -> s.offered() * perSecond).max()
-                .orElse(1));
+        add(
+                chart,
+                "refused or failed",
+                tally,
+                s -> (s.count(Outcome.REFUSED) + s.count(Outcome.FAILED)) * perSecond,
+                new Color(0xc04000));
+        add(
+                chart,
+                "cut, lost or spoilt",
+                tally,
+                s ->
+                        (s.count(Outcome.CUT) + s.count(Outcome.LOST) + s.count(Outcome.SPOILT))
+                                * perSecond,
+                new Color(0x600060));
+        faults(
+                chart,
+                marks,
+                tally.steps().stream().mapToDouble(s -> s.offered() * perSecond).max().orElse(1));
         return chart;
     }
 
     private static XYChart latency(Tally tally, List<Double> marks) {
         XYChart chart = chart("latency, ms");
-        add(chart, "median", tally, s -> s.latencyUs().getValueAtPercentile(50) / 1e3, new Color(0x2a7f3f));
-        add(chart, "99th percentile", tally, s -> s.latencyUs().getValueAtPercentile(99) / 1e3,
+        add(
+                chart,
+                "median",
+                tally,
+                s -> s.latencyUs().getValueAtPercentile(50) / 1e3,
+                new Color(0x2a7f3f));
+        add(
+                chart,
+                "99th percentile",
+                tally,
+                s -> s.latencyUs().getValueAtPercentile(99) / 1e3,
                 new Color(0xc04000));
-        faults(chart, marks, tally.steps().stream()
-                .mapToDouble(s -> s.latencyUs().getValueAtPercentile(99) / 1e3).max().orElse(1));
+        faults(
+                chart,
+                marks,
+                tally.steps().stream()
+                        .mapToDouble(s -> s.latencyUs().getValueAtPercentile(99) / 1e3)
+                        .max()
+                        .orElse(1));
         return chart;
     }
 
     private static XYChart chart(String title) {
-        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("seconds")
-                .build();
+        XYChart chart =
+                new XYChartBuilder()
+                        .width(WIDTH)
+                        .height(HEIGHT)
+                        .title(title)
+                        .xAxisTitle("seconds")
+                        .build();
         chart.getStyler().setChartBackgroundColor(Color.WHITE).setLegendVisible(true);
         return chart;
     }
 
-    private static void add(XYChart chart, String name, Tally tally, ToDoubleFunction<Tally.Step> value,
+    private static void add(
+            XYChart chart,
+            String name,
+            Tally tally,
+            ToDoubleFunction<Tally.Step> value,
             Color color) {
         List<Double> x = new ArrayList<>();
         List<Double> y = new ArrayList<>();
@@ -115,8 +180,11 @@
     /** An upright line at each fault. */
     private static void faults(XYChart chart, List<Double> marks, double top) {
         for (int i = 0; i < marks.size(); i++) {
-            XYSeries line = chart.addSeries("fault " + (i + 1), List.of(marks.get(i), marks.get(i)),
-                    List.of(0.0, Math.max(top, 1e-3)));
+            XYSeries line =
+                    chart.addSeries(
+                            "fault " + (i + 1),
+                            List.of(marks.get(i), marks.get(i)),
+                            List.of(0.0, Math.max(top, 1e-3)));
             style(line, new Color(0x3060c0));
             line.setShowInLegend(false);
         }
@@ -128,7 +196,8 @@
 
     private static String svg(XYChart chart) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        VectorGraphicsEncoder.saveVectorGraphic(chart, bytes, VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
+        VectorGraphicsEncoder.saveVectorGraphic(
+                chart, bytes, VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
         String svg = bytes.toString(StandardCharsets.UTF_8);
         return svg.substring(svg.toLowerCase(Locale.ROOT).indexOf("<svg"));
     }
--- a/src/main/java/passhatch/lab/drill/Result.java
+++ b/src/main/java/passhatch/lab/drill/Result.java
@@ -15,19 +15,25 @@
  * @param invalid why the run says nothing, as the machine was too busy; null where it counts
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
-record Result(String name, long seed, double servedShare, Map<String, Long> counts, Map<String,
-        Double> latencyMs,
-        List<Recovery> recoveries, Map<String, Double> behindMs, Map<String, Double> readyMs,
-                List<String> broken,
+record Result(
+        String name,
+        long seed,
+        double servedShare,
+        Map<String, Long> counts,
+        Map<String, Double> latencyMs,
+        List<Recovery> recoveries,
+        Map<String, Double> behindMs,
+        Map<String, Double> readyMs,
+        List<String> broken,
         String invalid) {
 
     /**
      * How long a fault was felt.
      *
-     * @param ms until the rate of served was back at 95 %; 0 where it never fell under that, null where it
-     *     was not back by the next fault or the end
+     * @param ms until the rate of served was back at 95 %; 0 where it never fell under that, null
+     *     where it was not back by the next fault or the end
      */
-    record Recovery(String fault, long atMs, Long ms) { }
+    record Recovery(String fault, long atMs, Long ms) {}
 
     boolean holds() {
         return broken.isEmpty() && invalid == null;
--- a/src/main/java/passhatch/lab/drill/Scenario.java
+++ b/src/main/java/passhatch/lab/drill/Scenario.java
@@ -7,15 +7,24 @@
 import passhatch.lab.standin.ServiceTime;
 
 /**
- * A drill as its file describes it. Times are written like {@code "250ms"}, {@code "5s"} or {@code "2m"};
- * what a file leaves out has the value that {@link ScenarioReader} gives it. Values are in their bounds once
- * read.
+ * A drill as its file describes it. Times are written like {@code "250ms"}, {@code "5s"} or {@code
+ * "2m"}; what a file leaves out has the value that {@link ScenarioReader} gives it. Values are in
+ * their bounds once read.
  *
  * @param duration how long load is given
  * @param expect what must hold at the end; at least one thing
  */
-record Scenario(String name, String about, long seed, Duration duration, Proxies proxies, Backends backends,
-        List<RequestKind> classes, LoadShape load, List<Fault> faults, Expect expect) {
+record Scenario(
+        String name,
+        String about,
+        long seed,
+        Duration duration,
+        Proxies proxies,
+        Backends backends,
+        List<RequestKind> classes,
+        LoadShape load,
+        List<Fault> faults,
+        Expect expect) {
 
     /**
      * The processes of the program.
@@ -23,18 +32,30 @@
      * @param retries whether they may send a request a second and a third time
      * @param readyWithin of a start, until it says that it is ready
      */
-    record Proxies(int count, @JsonProperty("memory_mb") int memoryMb, int sockets, boolean retries,
-            @JsonProperty("ready_within") Duration readyWithin) { }
+    record Proxies(
+            int count,
+            @JsonProperty("memory_mb") int memoryMb,
+            int sockets,
+            boolean retries,
+            @JsonProperty("ready_within") Duration readyWithin) {}
 
     /** The backends, all alike; see {@link passhatch.lab.standin.BackendServer.Shape}. */
-    record Backends(int count, int cores, int slots, int queue, int connections, Service service,
-            @JsonProperty("cold_share") double coldShare, @JsonProperty("cold_for") Duration coldFor) { }
+    record Backends(
+            int count,
+            int cores,
+            int slots,
+            int queue,
+            int connections,
+            Service service,
+            @JsonProperty("cold_share") double coldShare,
+            @JsonProperty("cold_for") Duration coldFor) {}
 
     /** The times that a backend takes. */
-    record Service(ServiceTime.Distribution distribution, Duration mean, double sigma) { }
+    record Service(ServiceTime.Distribution distribution, Duration mean, double sigma) {}
 
     /** A class of requests, as the settings tell it and as clients send it. */
-    record RequestKind(String name, LoadPlan.Effect effect, double share, Duration aim, Duration deadline) { }
+    record RequestKind(
+            String name, LoadPlan.Effect effect, double share, Duration aim, Duration deadline) {}
 
     /**
      * The clients.
@@ -43,12 +64,20 @@
      * @param detect how long the front goes on sending to a process that has died or is held
      * @param behind the drill is void where a hundredth of the requests went out later than this
      */
-    record LoadShape(double rate, Arrivals arrivals, int connections, int retries, Duration detect,
+    record LoadShape(
+            double rate,
+            Arrivals arrivals,
+            int connections,
+            int retries,
+            Duration detect,
             int threads,
-            Duration behind) { }
+            Duration behind) {}
 
     /** When requests come. */
-    enum Arrivals { POISSON, EVEN }
+    enum Arrivals {
+        POISSON,
+        EVEN
+    }
 
     /**
      * A fault.
@@ -61,8 +90,15 @@
      * @param by how late
      * @param groups for a partition: names of proxies that still reach each other
      */
-    record Fault(Duration at, @JsonProperty("do") FaultKind kind, @JsonProperty("for") Duration lasts,
-            List<String> target, double share, double factor, Duration by, List<List<String>> groups) { }
+    record Fault(
+            Duration at,
+            @JsonProperty("do") FaultKind kind,
+            @JsonProperty("for") Duration lasts,
+            List<String> target,
+            double share,
+            double factor,
+            Duration by,
+            List<List<String>> groups) {}
 
     /**
      * What must hold; null where it is not asked for.
@@ -72,7 +108,17 @@
      * @param recovery most time after any fault until the rate of served is back at 95 %
      * @param p99 of the latency
      */
-    record Expect(Double served, Long late, Long refused, Long failed, Long cut, Long lost, Long spoilt,
-            Long duplicates, @JsonProperty("too_often") Long tooOften,
-            @JsonProperty("after_drain") Long afterDrain, Duration recovery, Duration p99) { }
+    record Expect(
+            Double served,
+            Long late,
+            Long refused,
+            Long failed,
+            Long cut,
+            Long lost,
+            Long spoilt,
+            Long duplicates,
+            @JsonProperty("too_often") Long tooOften,
+            @JsonProperty("after_drain") Long afterDrain,
+            Duration recovery,
+            Duration p99) {}
 }
--- a/src/main/java/passhatch/lab/drill/ScenarioReader.java
+++ b/src/main/java/passhatch/lab/drill/ScenarioReader.java
@@ -7,11 +7,18 @@
 import java.util.List;
 import passhatch.agent.config.TomlFile;
 
-/** Reads scenario files and says of a bad one which file, which key or line, and what was expected there. */
+/**
+ * Reads scenario files and says of a bad one which file, which key or line, and what was expected
+ * there.
+ */
 final class ScenarioReader {
 
-    /** What files may leave out. Times of a fault and all of {@code expect} have no values of their own. */
-    private static final String DEFAULTS = """
+    /**
+     * What files may leave out. Times of a fault and all of {@code expect} have no values of their
+     * own.
+     */
+    private static final String DEFAULTS =
+            """
             about = ""
             seed = 1
             duration = "20s"
@@ -44,7 +51,9 @@
             behind = "50ms"
             [expect]
             """;
-    private static final String DEFAULT_CLASSES = """
+
+    private static final String DEFAULT_CLASSES =
+            """
             [[classes]]
             name = "look-up"
             effect = "safe"
@@ -65,7 +74,7 @@
             deadline = "1500ms"
             """;
 
-    private ScenarioReader() { }
+    private ScenarioReader() {}
 
     /** Reads and checks a file. */
     static Scenario read(Path file) {
@@ -117,7 +126,10 @@
     /** The bounds that a scenario's values have to keep. */
     private record Check(TomlFile file, Scenario s) {
         void all() {
-            require(s.proxies() != null && within(s.proxies().count(), 1, 64), "proxies.count", "1 to 64");
+            require(
+                    s.proxies() != null && within(s.proxies().count(), 1, 64),
+                    "proxies.count",
+                    "1 to 64");
             require(within(s.proxies().memoryMb(), 48, 4096), "proxies.memory_mb", "48 to 4096");
             require(within(s.proxies().sockets(), 128, 65536), "proxies.sockets", "128 to 65536");
             require(within(s.backends().count(), 1, 1000), "backends.count", "1 to 1000");
@@ -125,12 +137,21 @@
             require(s.backends().slots() >= 1, "backends.slots", "at least 1");
             require(s.backends().queue() >= 0, "backends.queue", "0 or more");
             require(s.backends().connections() >= 1, "backends.connections", "at least 1");
-            require(s.backends().coldShare() > 0 && s.backends().coldShare() <= 1, "backends.cold_share",
+            require(
+                    s.backends().coldShare() > 0 && s.backends().coldShare() <= 1,
+                    "backends.cold_share",
                     "over 0 and up to 1");
-            require(positive(s.backends().service().mean()), "backends.service.mean", "a time over 0");
-            require(s.duration() != null && within(s.duration().toSeconds(), 1, 3600), "duration",
+            require(
+                    positive(s.backends().service().mean()),
+                    "backends.service.mean",
+                    "a time over 0");
+            require(
+                    s.duration() != null && within(s.duration().toSeconds(), 1, 3600),
+                    "duration",
                     "1s to 1h");
-            require(s.load().rate() > 0 && s.load().rate() <= 200_000, "load.rate",
+            require(
+                    s.load().rate() > 0 && s.load().rate() <= 200_000,
+                    "load.rate",
                     "over 0 and up to 200000");
             require(within(s.load().threads(), 1, 16), "load.threads", "1 to 16");
             require(within(s.load().retries(), 0, 5), "load.retries", "0 to 5");
@@ -139,7 +160,9 @@
             for (int i = 0; i < s.classes().size(); i++) {
                 Scenario.RequestKind kind = s.classes().get(i);
                 String key = "classes[" + (i + 1) + "].";
-                require(kind.name() != null && kind.name().matches("[a-z][a-z0-9-]*"), key + "name",
+                require(
+                        kind.name() != null && kind.name().matches("[a-z][a-z0-9-]*"),
+                        key + "name",
                         "small letters, digits and hyphens");
                 require(kind.effect() != null, key + "effect", "safe, keyed or unsafe");
                 require(kind.share() > 0, key + "share", "over 0");
@@ -149,36 +172,64 @@
             for (int i = 0; i < s.faults().size(); i++) {
                 fault(s.faults().get(i), "faults[" + (i + 1) + "].");
             }
-            require(s.expect() != null && !s.expect().equals(new Scenario.Expect(null, null, null, null, null,
-                    null,
-                    null, null, null, null, null, null)), "expect", "at least one thing that must hold");
+            require(
+                    s.expect() != null
+                            && !s.expect()
+                                    .equals(
+                                            new Scenario.Expect(
+                                                    null, null, null, null, null, null, null, null,
+                                                    null, null, null, null)),
+                    "expect",
+                    "at least one thing that must hold");
         }
 
         private void fault(Scenario.Fault f, String key) {
             require(f.kind() != null, key + "do", "the name of a fault");
-            require(f.at() != null && f.at().compareTo(s.duration()) < 0, key + "at",
+            require(
+                    f.at() != null && f.at().compareTo(s.duration()) < 0,
+                    key + "at",
                     "a time before the end of the load");
-            require(f.lasts() == null || positive(f.lasts()) && f.kind().undo() != null, key + "for",
+            require(
+                    f.lasts() == null || positive(f.lasts()) && f.kind().undo() != null,
+                    key + "for",
                     "a time over 0, and a fault that can be undone");
             require(f.share() > 0 && f.share() <= 1, key + "share", "over 0 and up to 1");
             require(f.factor() > 1, key + "factor", "over 1");
             switch (f.kind().on()) {
-                case PROXY -> names(f.target(), "proxy", "proxies", s.proxies().count(), key + "target");
-                case BACKEND -> names(f.target(), "backend", "backends", s.backends().count(), key
-                        + "target");
-                default -> require(f.target().isEmpty(), key + "target", "none, as there is only one");
+                case PROXY ->
+                        names(f.target(), "proxy", "proxies", s.proxies().count(), key + "target");
+                case BACKEND ->
+                        names(
+                                f.target(),
+                                "backend",
+                                "backends",
+                                s.backends().count(),
+                                key + "target");
+                default ->
+                        require(f.target().isEmpty(), key + "target", "none, as there is only one");
             }
             boolean grouped = f.kind() == FaultKind.PARTITION || f.kind() == FaultKind.ONE_WAY;
-            require(grouped != f.groups().isEmpty(), key + "groups",
+            require(
+                    grouped != f.groups().isEmpty(),
+                    key + "groups",
                     grouped ? "lists of proxies" : "none for this fault");
-            f.groups().forEach(g -> names(g, "proxy", "proxies", s.proxies().count(), key + "groups"));
+            f.groups()
+                    .forEach(
+                            g -> names(g, "proxy", "proxies", s.proxies().count(), key + "groups"));
         }
 
         private void names(List<String> given, String one, String all, int count, String key) {
-            require(!given.isEmpty() && given.stream().allMatch(name -> name.equals(all)
-                    || name.matches(one + "-[1-9]\\d{0,3}")
-                            && Integer.parseInt(name.substring(one.length() + 1)) <= count),
-                    key, one + "-1 to " + one + "-" + count + ", or " + all);
+            boolean known =
+                    given.stream().allMatch(name -> name.equals(all) || isOne(name, one, count));
+            require(
+                    !given.isEmpty() && known,
+                    key,
+                    one + "-1 to " + one + "-" + count + ", or " + all);
+        }
+
+        private static boolean isOne(String name, String kind, int count) {
+            return name.matches(kind + "-[1-9]\\d{0,3}")
+                    && Integer.parseInt(name.substring(kind.length() + 1)) <= count;
         }
 
         private static boolean within(long value, long least, long most) {
--- a/src/main/java/passhatch/lab/duty/DutyCommand.java
+++ b/src/main/java/passhatch/lab/duty/DutyCommand.java
@@ -16,81 +16,134 @@
 import picocli.CommandLine.Spec;
 
 /** The command {@code duty}: checks the duties' state machines. */
-@Command(name = "duty", mixinStandardHelpOptions = true,
-        description = "Checks the state machines of the duties; docs/duties.md says what has to hold.")
+@Command(
+        name = "duty",
+        mixinStandardHelpOptions = true,
+        description =
+                "Checks the state machines of the duties; docs/duties.md says what has to hold.")
 public final class DutyCommand extends CommandGroup {
 
-    private DutyCommand() { }
+    private DutyCommand() {}
 
     /** The command with its own commands. */
     public static CommandLine line() {
-        return new CommandLine(new DutyCommand()).addSubcommand(new Check()).addSubcommand(new Random());
+        return new CommandLine(new DutyCommand())
+                .addSubcommand(new Check())
+                .addSubcommand(new Random());
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Explores every order of a few steps of three voters and two candidates.")
     private static final class Check implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Option(names = "--depth", defaultValue = "10", description = "Steps; default: ${DEFAULT-VALUE}.")
+        @Spec private CommandSpec spec;
+
+        @Option(
+                names = "--depth",
+                defaultValue = "10",
+                description = "Steps; default: ${DEFAULT-VALUE}.")
         private int depth;
-        @Option(names = "--ticks", defaultValue = "3", description =
-                "Half leases that pass at most; default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--ticks",
+                defaultValue = "3",
+                description = "Half leases that pass at most; default: ${DEFAULT-VALUE}.")
         private int ticks;
-        @Option(names = "--crashes", defaultValue = "1", description = "At most; default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--crashes",
+                defaultValue = "1",
+                description = "At most; default: ${DEFAULT-VALUE}.")
         private int crashes;
-        @Option(names = "--copies", defaultValue = "1", description =
-                "Messages that arrive twice at most; default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--copies",
+                defaultValue = "1",
+                description = "Messages that arrive twice at most; default: ${DEFAULT-VALUE}.")
         private int copies;
 
         @Override
         public Integer call() {
-            DutyChecker.Found found = new DutyChecker(Parts.OWN, depth, ticks, crashes, copies).run();
+            DutyChecker.Found found =
+                    new DutyChecker(Parts.OWN, depth, ticks, crashes, copies).run();
             PrintWriter out = spec.commandLine().getOut();
-            out.println(found.states() + " states, " + (found.broken() == null ? "nothing is broken"
-                    : "BROKEN: " + found.broken()));
+            out.println(
+                    found.states()
+                            + " states, "
+                            + (found.broken() == null
+                                    ? "nothing is broken"
+                                    : "BROKEN: " + found.broken()));
             out.flush();
             return found.broken() == null ? 0 : Commands.FAILED;
         }
     }
 
-    @Command(name = "random", mixinStandardHelpOptions = true,
+    @Command(
+            name = "random",
+            mixinStandardHelpOptions = true,
             description = "Plays voters and candidates with random faults, by seed.")
     private static final class Random implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Option(names = "--seeds", defaultValue = "1000", description = "Default: ${DEFAULT-VALUE}.")
+        @Spec private CommandSpec spec;
+
+        @Option(
+                names = "--seeds",
+                defaultValue = "1000",
+                description = "Default: ${DEFAULT-VALUE}.")
         private int seeds;
+
         @Option(names = "--voters", defaultValue = "5", description = "Default: ${DEFAULT-VALUE}.")
         private int voters;
-        @Option(names = "--candidates", defaultValue = "4", description = "Default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--candidates",
+                defaultValue = "4",
+                description = "Default: ${DEFAULT-VALUE}.")
         private int candidates;
-        @Option(names = "--drift", defaultValue = "0.01", description =
-                "Allowed by the configuration; default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--drift",
+                defaultValue = "0.01",
+                description = "Allowed by the configuration; default: ${DEFAULT-VALUE}.")
         private double drift;
-        @Option(names = "--real-drift", defaultValue = "0.01", description =
-                "That clocks have; default: ${DEFAULT-VALUE}.")
+
+        @Option(
+                names = "--real-drift",
+                defaultValue = "0.01",
+                description = "That clocks have; default: ${DEFAULT-VALUE}.")
         private double realDrift;
 
         @Override
         public Integer call() {
             Shape shape = new Shape(voters, candidates, 15, drift, realDrift);
             PrintWriter out = spec.commandLine().getOut();
-            List<Outcome> all = LongStream.range(0, seeds).parallel().mapToObj(seed -> {
-                Outcome outcome = DutySim.play(Parts.OWN, shape, seed);
-                if (outcome.broken() != null) {
-                    out.println("seed " + seed + ": " + outcome.broken());
-                }
-                return outcome;
-            }).toList();
+            List<Outcome> all =
+                    LongStream.range(0, seeds)
+                            .parallel()
+                            .mapToObj(
+                                    seed -> {
+                                        Outcome outcome = DutySim.play(Parts.OWN, shape, seed);
+                                        if (outcome.broken() != null) {
+                                            out.println("seed " + seed + ": " + outcome.broken());
+                                        }
+                                        return outcome;
+                                    })
+                            .toList();
             List<Long> gaps = all.stream().flatMap(o -> o.gapsUs().stream()).sorted().toList();
             long broken = all.stream().filter(o -> o.broken() != null).count();
-            out.printf(Locale.ROOT, "%d seeds, %d broken, %d changes of holder, %d moments with two acting%n",
-                    seeds, broken, all.stream().mapToInt(Outcome::changes).sum(),
+            out.printf(
+                    Locale.ROOT,
+                    "%d seeds, %d broken, %d changes of holder, %d moments with two acting%n",
+                    seeds,
+                    broken,
+                    all.stream().mapToInt(Outcome::changes).sum(),
                     all.stream().mapToInt(Outcome::doubles).sum());
             if (!gaps.isEmpty()) {
-                out.printf(Locale.ROOT, "without a holder: median %.3f s, 99 %% %.3f s, worst %.3f s%n",
-                        gaps.get(gaps.size() / 2) * 1e-6, gaps.get(gaps.size() * 99 / 100) * 1e-6,
+                out.printf(
+                        Locale.ROOT,
+                        "without a holder: median %.3f s, 99 %% %.3f s, worst %.3f s%n",
+                        gaps.get(gaps.size() / 2) * 1e-6,
+                        gaps.get(gaps.size() * 99 / 100) * 1e-6,
                         gaps.get(gaps.size() - 1) * 1e-6);
             }
             out.flush();
--- a/src/main/java/passhatch/lab/duty/DutySim.java
+++ b/src/main/java/passhatch/lab/duty/DutySim.java
@@ -21,9 +21,9 @@
 import passhatch.lab.Seeds;
 
 /**
- * Voters and candidates of one duty in simulated time, each with a clock of its own pace, with faults by
- * seed. Checked at every event: at most one acts; terms grow; nothing with an older token is carried out
- * after something with a newer one.
+ * Voters and candidates of one duty in simulated time, each with a clock of its own pace, with
+ * faults by seed. Checked at every event: at most one acts; terms grow; nothing with an older token
+ * is carried out after something with a newer one.
  */
 public final class DutySim {
 
@@ -31,8 +31,10 @@
     private static final long SECOND = 1_000_000;
     private static final long LEASE_US = 4 * SECOND;
     private static final long RUN_US = 300 * SECOND;
+
     /** The last part of a run is without faults. */
     private static final long CALM_US = 60 * SECOND;
+
     private static final long ACT_EVERY_US = 100_000;
     private static final long DEVICE_DELAY_US = 50_000;
 
@@ -43,9 +45,10 @@
      * @param candidates how many
      * @param faults so many crashes, holds, cuts and gifts on average
      * @param drift that the configuration allows
-     * @param realDrift that clocks have at most; more than is allowed breaks the promise that one acts
+     * @param realDrift that clocks have at most; more than is allowed breaks the promise that one
+     *     acts
      */
-    public record Shape(int voters, int candidates, int faults, double drift, double realDrift) { }
+    public record Shape(int voters, int candidates, int faults, double drift, double realDrift) {}
 
     /**
      * What came of a run.
@@ -55,9 +58,9 @@
      * @param gapsUs how long the duty had no holder each time, in microseconds
      * @param doubles moments at which two could act; 0 as long as clocks keep the bound
      */
-    public record Outcome(String broken, int changes, List<Long> gapsUs, int doubles) { }
+    public record Outcome(String broken, int changes, List<Long> gapsUs, int doubles) {}
 
-    private record Event(long us, long order, Runnable action) { }
+    private record Event(long us, long order, Runnable action) {}
 
     /** A process with its clock. */
     private final class Host {
@@ -84,12 +87,14 @@
 
         void hold(long us) {
             held = true;
-            after(us, () -> {
-                held = false;
-                List<Runnable> all = new ArrayList<>(waiting);
-                waiting.clear();
-                all.forEach(Runnable::run);
-            });
+            after(
+                    us,
+                    () -> {
+                        held = false;
+                        List<Runnable> all = new ArrayList<>(waiting);
+                        waiting.clear();
+                        all.forEach(Runnable::run);
+                    });
         }
     }
 
@@ -108,21 +113,31 @@
         void recall() {
             Voter then = voter;
             if (!then.votes()) {
-                settings.voters().stream().filter(v -> voters.get(v) != this)
+                settings.voters().stream()
+                        .filter(v -> voters.get(v) != this)
                         .forEach(v -> send(name, v, then.recall()));
-                after(SECOND / 2, () -> host.run(() -> {
-                    if (voter == then) {
-                        recall();
-                    }
-                }));
+                after(
+                        SECOND / 2,
+                        () ->
+                                host.run(
+                                        () -> {
+                                            if (voter == then) {
+                                                recall();
+                                            }
+                                        }));
             }
         }
 
         void start() {
-            voter = parts.voter(settings, host.localUs(), disk.values(), promise -> {
-                disk.put(promise.duty(), promise);
-                return true;
-            });
+            voter =
+                    parts.voter(
+                            settings,
+                            host.localUs(),
+                            disk.values(),
+                            promise -> {
+                                disk.put(promise.duty(), promise);
+                                return true;
+                            });
             recall();
         }
 
@@ -153,8 +168,13 @@
 
         void start() {
             life++;
-            candidate = parts.candidate(settings, DUTY, name() + ":" + life, new SplittableRandom(
-                    seeds.stream(name() + life).nextLong()), this);
+            candidate =
+                    parts.candidate(
+                            settings,
+                            DUTY,
+                            name() + ":" + life,
+                            new SplittableRandom(seeds.stream(name() + life).nextLong()),
+                            this);
             candidate.want(host.localUs());
             plan();
         }
@@ -167,12 +187,18 @@
             if (plannedUs <= nowUs || at < plannedUs) {
                 plannedUs = at;
                 Candidate then = candidate;
-                events.add(new Event(at, order++, () -> host.run(() -> {
-                    if (candidate == then) {
-                        then.timer(host.localUs());
-                        plan();
-                    }
-                })));
+                events.add(
+                        new Event(
+                                at,
+                                order++,
+                                () ->
+                                        host.run(
+                                                () -> {
+                                                    if (candidate == then) {
+                                                        then.timer(host.localUs());
+                                                        plan();
+                                                    }
+                                                })));
             }
         }
 
@@ -201,7 +227,7 @@
         }
 
         @Override
-        public void lost(long term) { }
+        public void lost(long term) {}
 
         /** Checks and sends off an act, which arrives later; it may be held between the two. */
         void act() {
@@ -219,8 +245,9 @@
     private final DutySettings settings;
     private final Map<String, VoterNode> voters = new HashMap<>();
     private final Map<String, CandidateNode> candidates = new HashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::us).thenComparingLong(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::us).thenComparingLong(Event::order));
     private final Set<String> cutOff = new HashSet<>();
     private final Set<String> mute = new HashSet<>();
     private final Fence fence = new Fence(Map.of(), (duty, token) -> true);
@@ -258,10 +285,12 @@
     }
 
     private Outcome run() {
-        voters.values().forEach(v -> {
-            v.start();
-            v.voter.found();
-        });
+        voters.values()
+                .forEach(
+                        v -> {
+                            v.start();
+                            v.voter.found();
+                        });
         candidates.values().forEach(CandidateNode::start);
         for (int i = random.nextInt(2 * shape.faults() + 1); i > 0; i--) {
             after(random.nextLong(RUN_US - CALM_US), this::fault);
@@ -305,8 +334,9 @@
     }
 
     private long acting() {
-        return candidates.values().stream().filter(c -> c.candidate != null
-                && c.candidate.mayAct(c.host.localUs())).count();
+        return candidates.values().stream()
+                .filter(c -> c.candidate != null && c.candidate.mayAct(c.host.localUs()))
+                .count();
     }
 
     private void look() {
@@ -331,12 +361,17 @@
     }
 
     private void send(String from, String to, DutyMessage message) {
-        boolean lost = cutOff.contains(from) != cutOff.contains(to) || mute.contains(from)
-                || badNetwork && random.nextDouble() < 0.3;
+        boolean lost =
+                cutOff.contains(from) != cutOff.contains(to)
+                        || mute.contains(from)
+                        || badNetwork && random.nextDouble() < 0.3;
         int copies = lost ? 0 : badNetwork && random.nextInt(5) == 0 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             // Some are late by up to a minute.
-            long us = 100 + random.nextLong(badNetwork && random.nextInt(10) == 0 ? 60 * SECOND : 2_000);
+            long us =
+                    100
+                            + random.nextLong(
+                                    badNetwork && random.nextInt(10) == 0 ? 60 * SECOND : 2_000);
             after(us, () -> arrive(from, to, message));
         }
     }
@@ -344,12 +379,13 @@
     private void arrive(String from, String to, DutyMessage message) {
         if (voters.containsKey(to)) {
             VoterNode node = voters.get(to);
-            node.host.run(() -> {
-                DutyMessage answer = node.voter.hear(node.host.localUs(), from, message);
-                if (answer != null) {
-                    send(to, from, answer);
-                }
-            });
+            node.host.run(
+                    () -> {
+                        DutyMessage answer = node.voter.hear(node.host.localUs(), from, message);
+                        if (answer != null) {
+                            send(to, from, answer);
+                        }
+                    });
         } else if (candidates.containsKey(to)) {
             CandidateNode node = candidates.get(to);
             node.host.run(() -> node.hear(from, message));
@@ -379,20 +415,25 @@
                 badNetwork = true;
                 after(us, () -> badNetwork = false);
             }
-            default -> candidates.values().stream().filter(c -> c.candidate != null
-                    && c.candidate.term() > 0).findFirst().ifPresent(c -> giveUp(c));
+            default ->
+                    candidates.values().stream()
+                            .filter(c -> c.candidate != null && c.candidate.term() > 0)
+                            .findFirst()
+                            .ifPresent(c -> giveUp(c));
         }
     }
 
     /** Gives the duty to another and wants it again later. */
     private void giveUp(CandidateNode holder) {
-        holder.host.run(() -> {
-            if (holder.candidate != null) {
-                holder.candidate.giveUp(holder.host.localUs(), "c" + random.nextInt(shape.candidates()));
-                holder.candidate.want(holder.host.localUs());
-                holder.plan();
-            }
-        });
+        holder.host.run(
+                () -> {
+                    if (holder.candidate != null) {
+                        holder.candidate.giveUp(
+                                holder.host.localUs(), "c" + random.nextInt(shape.candidates()));
+                        holder.candidate.want(holder.host.localUs());
+                        holder.plan();
+                    }
+                });
     }
 
     private Host host(String name) {
@@ -405,11 +446,13 @@
         } else {
             CandidateNode node = candidates.get(name);
             node.candidate = null;
-            after(random.nextLong(10 * SECOND), () -> {
-                if (node.candidate == null) {
-                    node.start();
-                }
-            });
+            after(
+                    random.nextLong(10 * SECOND),
+                    () -> {
+                        if (node.candidate == null) {
+                            node.start();
+                        }
+                    });
         }
     }
 }
--- a/src/main/java/passhatch/lab/duty/DutyWorld.java
+++ b/src/main/java/passhatch/lab/duty/DutyWorld.java
@@ -15,8 +15,9 @@
 import passhatch.duty.Voter;
 
 /**
- * Three voters and two candidates of one duty, with every message that is under way: one state of the model
- * checker, reached by a row of steps. All clocks are one here; time moves by half a lease a step.
+ * Three voters and two candidates of one duty, with every message that is under way: one state of
+ * the model checker, reached by a row of steps. All clocks are one here; time moves by half a lease
+ * a step.
  */
 final class DutyWorld {
 
@@ -27,11 +28,16 @@
     private static final long TICK_US = LEASE_US / 2;
     private static final List<String> NAMES = List.of("v0", "v1", "v2", "x");
     private static final List<String> HOSTS = List.of("c0", "c1");
+
     /** Not a voter: a holder that is gone. */
     private static final int EARLIER = 3;
-    private static final DutySettings SETTINGS = new DutySettings(NAMES.subList(0, VOTERS), 1, LEASE_US, 0);
+
+    private static final DutySettings SETTINGS =
+            new DutySettings(NAMES.subList(0, VOTERS), 1, LEASE_US, 0);
+
     /** Always the shortest: every other wait is a step of the checker's. */
     private static final RandomGenerator LEAST = () -> 0;
+
     private static final int TIMERS = 1;
     private static final int VOTER_CRASHES = TIMERS + CANDIDATES;
     private static final int CANDIDATE_CRASHES = VOTER_CRASHES + VOTERS;
@@ -45,15 +51,17 @@
      * @param crashes of voters and candidates
      * @param copies messages that arrive and still are under way
      */
-    record Bounds(int depth, int ticks, int crashes, int copies) { }
+    record Bounds(int depth, int ticks, int crashes, int copies) {}
 
-    private record Sent(int from, int to, boolean toVoter, DutyMessage message) { }
+    private record Sent(int from, int to, boolean toVoter, DutyMessage message) {}
 
     private final Parts parts;
     private final Bounds bounds;
     private final Voter[] voters = new Voter[VOTERS];
-    private final List<Map<String, Promise>> disks = Stream
-            .generate(() -> (Map<String, Promise>) new HashMap<String, Promise>()).limit(VOTERS).toList();
+    private final List<Map<String, Promise>> disks =
+            Stream.generate(() -> (Map<String, Promise>) new HashMap<String, Promise>())
+                    .limit(VOTERS)
+                    .toList();
     private final Candidate[] candidates = new Candidate[CANDIDATES];
     private final int[] lives = new int[CANDIDATES];
     private final List<Sent> underWay = new ArrayList<>();
@@ -74,38 +82,58 @@
         for (int i = 0; i < CANDIDATES; i++) {
             startCandidate(i);
         }
-        // The last word of an earlier holder, that it has given up; it may come at any time, or never.
-        underWay.add(new Sent(EARLIER, 1, false, new DutyMessage(DutyMessage.Kind.TAKE, 1, DUTY, 1, 0,
-                "x", 0)));
+        // The last word of an earlier holder, that it has given up; it may come at any time, or
+        // never.
+        underWay.add(
+                new Sent(
+                        EARLIER,
+                        1,
+                        false,
+                        new DutyMessage(DutyMessage.Kind.TAKE, 1, DUTY, 1, 0, "x", 0)));
         nowUs += TICK_US;
     }
 
     private void startVoter(int voter) {
-        voters[voter] = parts.voter(SETTINGS, nowUs, disks.get(voter).values(), promise -> {
-            disks.get(voter).put(promise.duty(), promise);
-            return true;
-        });
+        voters[voter] =
+                parts.voter(
+                        SETTINGS,
+                        nowUs,
+                        disks.get(voter).values(),
+                        promise -> {
+                            disks.get(voter).put(promise.duty(), promise);
+                            return true;
+                        });
     }
 
     private void startCandidate(int candidate) {
         lives[candidate]++;
-        candidates[candidate] = parts.candidate(SETTINGS, DUTY, holder(candidate), LEAST, new DutyActions() {
-            @Override
-            public void send(String to, DutyMessage message) {
-                underWay.add(new Sent(candidate, NAMES.indexOf(to), true, message));
-            }
+        candidates[candidate] =
+                parts.candidate(
+                        SETTINGS,
+                        DUTY,
+                        holder(candidate),
+                        LEAST,
+                        new DutyActions() {
+                            @Override
+                            public void send(String to, DutyMessage message) {
+                                underWay.add(new Sent(candidate, NAMES.indexOf(to), true, message));
+                            }
 
-            @Override
-            public void granted(long term) {
-                if (term <= greatestTerm) {
-                    broken = "term " + term + " was granted after term " + greatestTerm;
-                }
-                greatestTerm = Math.max(greatestTerm, term);
-            }
+                            @Override
+                            public void granted(long term) {
+                                if (term <= greatestTerm) {
+                                    broken =
+                                            "term "
+                                                    + term
+                                                    + " was granted after term "
+                                                    + greatestTerm;
+                                }
+                                greatestTerm = Math.max(greatestTerm, term);
+                            }
 
-            @Override
-            public void lost(long term) { }
-        });
+                            @Override
+                            public void lost(long term) {}
+                        });
         candidates[candidate].want(nowUs);
     }
 
@@ -169,7 +197,9 @@
         return broken;
     }
 
-    /** The same for states that differ only in which voter is which, and which candidate is which. */
+    /**
+     * The same for states that differ only in which voter is which, and which candidate is which.
+     */
     String signature() {
         String one = signature(new int[] {0, 1});
         String other = signature(new int[] {1, 0});
@@ -182,7 +212,9 @@
             StringBuilder text = new StringBuilder();
             Promise promise = voters[v].promised(DUTY);
             if (promise != null) {
-                text.append(promise.term()).append(named(promise.holder(), order)).append('/')
+                text.append(promise.term())
+                        .append(named(promise.holder(), order))
+                        .append('/')
                         .append(voters[v].boundForUs(nowUs, DUTY))
                         .append(voters[v].released(DUTY) ? 'r' : '-');
             }
@@ -194,8 +226,16 @@
             for (Sent sent : underWay) {
                 if ((sent.toVoter() ? sent.to() : sent.from()) == v) {
                     DutyMessage m = sent.message();
-                    messages.add(m.kind().ordinal() + "," + m.term() + "," + m.round() + ","
-                            + named(m.holder(), order) + "," + m.waitUs());
+                    messages.add(
+                            m.kind().ordinal()
+                                    + ","
+                                    + m.term()
+                                    + ","
+                                    + m.round()
+                                    + ","
+                                    + named(m.holder(), order)
+                                    + ","
+                                    + m.waitUs());
                 }
             }
             messages.sort(null);
@@ -203,16 +243,30 @@
         }
         Arrays.sort(byVoter);
         StringBuilder whole = new StringBuilder(String.join("|", byVoter));
-        underWay.stream().filter(s -> s.from() == EARLIER && !s.toVoter())
+        underWay.stream()
+                .filter(s -> s.from() == EARLIER && !s.toVoter())
                 .forEach(s -> whole.append("|take").append(order[0] == s.to() ? 0 : 1));
         for (int i : order) {
             Candidate c = candidates[i];
-            whole.append('|').append(c).append(c.wakeAtUs() == Long.MAX_VALUE ? "-" : Math.max(-1,
-                    c.wakeAtUs() - nowUs)).append('/').append(c.leftUs(nowUs)).append('/')
-                    .append(Math.max(-2 * LEASE_US, c.askedUs() - nowUs)).append('/')
+            whole.append('|')
+                    .append(c)
+                    .append(
+                            c.wakeAtUs() == Long.MAX_VALUE
+                                    ? "-"
+                                    : Math.max(-1, c.wakeAtUs() - nowUs))
+                    .append('/')
+                    .append(c.leftUs(nowUs))
+                    .append('/')
+                    .append(Math.max(-2 * LEASE_US, c.askedUs() - nowUs))
+                    .append('/')
                     .append(lives[i]);
         }
-        return whole.append('|').append(ticks).append(crashes).append(copies).append(greatestTerm).toString();
+        return whole.append('|')
+                .append(ticks)
+                .append(crashes)
+                .append(copies)
+                .append(greatestTerm)
+                .toString();
     }
 
     private String answered(int voter, int[] order) {
--- a/src/main/java/passhatch/lab/fleet/FleetExplorer.java
+++ b/src/main/java/passhatch/lab/fleet/FleetExplorer.java
@@ -16,13 +16,15 @@
 import passhatch.lab.Seeds;
 
 /**
- * Draws faults by seed, plays them on a simulated fleet, and checks what must hold: statements about a member
- * only get newer; nobody that no fault came near is taken for failed; and once all is over, views agree.
+ * Draws faults by seed, plays them on a simulated fleet, and checks what must hold: statements
+ * about a member only get newer; nobody that no fault came near is taken for failed; and once all
+ * is over, views agree.
  */
 public final class FleetExplorer {
 
     /** Until views agree after the last fault, at most; the goal for a partition that heals. */
     public static final long AGREE_WITHIN_US = 30_000_000;
+
     private static final long FAULTS_FOR_MS = 120_000;
     private static final long SETTLE_US = 60_000_000;
     private static final int MOST_FAULTS = 8;
@@ -34,7 +36,7 @@
      * @param broken what did not hold, or null
      * @param agreedUs how long after the last fault views agreed; -1 where they did not
      */
-    public record Outcome(String broken, long agreedUs) { }
+    public record Outcome(String broken, long agreedUs) {}
 
     private final int members;
 
@@ -50,10 +52,14 @@
         List<FleetFault> faults = new ArrayList<>();
         for (int n = 1 + random.nextInt(MOST_FAULTS); n > 0; n--) {
             FleetFault.Kind kind = kinds[random.nextInt(kinds.length)];
-            int target = kind == FleetFault.Kind.PARTITION || kind == FleetFault.Kind.ONE_WAY
-                    ? 2 + random.nextInt(2) : random.nextInt(members);
-            long value = kind == FleetFault.Kind.WEATHER ? random.nextInt(31)
-                    : (long) (200 * Math.pow(300, random.nextDouble()));
+            int target =
+                    kind == FleetFault.Kind.PARTITION || kind == FleetFault.Kind.ONE_WAY
+                            ? 2 + random.nextInt(2)
+                            : random.nextInt(members);
+            long value =
+                    kind == FleetFault.Kind.WEATHER
+                            ? random.nextInt(31)
+                            : (long) (200 * Math.pow(300, random.nextDouble()));
             faults.add(new FleetFault(random.nextLong(FAULTS_FOR_MS), kind, target, value));
         }
         faults.sort(Comparator.comparingLong(FleetFault::atMs));
@@ -83,7 +89,8 @@
         }
         long us = sim.until(() -> sim.agree() && sim.settled(), STEP_US, AGREE_WITHIN_US);
         if (checks.broken == null && us < 0) {
-            checks.broken = "views do not agree " + AGREE_WITHIN_US / 1_000_000 + " s after the last fault";
+            checks.broken =
+                    "views do not agree " + AGREE_WITHIN_US / 1_000_000 + " s after the last fault";
         }
         return new Outcome(checks.broken, us);
     }
@@ -112,7 +119,8 @@
             }
             case PARTITION -> cuts.add(sim, us, (a, b) -> a % target == b % target);
             case ONE_WAY -> cuts.add(sim, us, (a, b) -> a % target != 0 || b % target == 0);
-            case WEATHER -> sim.network(new FleetSim.Network(fault.value() / 100.0, 0.1, 0.1, 200, 2_000));
+            case WEATHER ->
+                    sim.network(new FleetSim.Network(fault.value() / 100.0, 0.1, 0.1, 200, 2_000));
         }
     }
 
@@ -139,8 +147,11 @@
         private String broken;
 
         Checks(List<FleetFault> faults) {
-            touched = faults.stream().filter(f -> !f.ofNetwork()).map(f -> "n" + f.target())
-                    .collect(Collectors.toSet());
+            touched =
+                    faults.stream()
+                            .filter(f -> !f.ofNetwork())
+                            .map(f -> "n" + f.target())
+                            .collect(Collectors.toSet());
             networkCut = faults.stream().anyMatch(FleetFault::ofNetwork);
         }
 
@@ -150,10 +161,21 @@
             Incarnation known = before == null ? null : newest.get(key);
             if (known != null) {
                 int newer = after.incarnation().compareTo(known);
-                if (newer < 0 || newer == 0 && after.status().compareTo(last.get(key)) <= 0
-                        && !after.name().equals("n" + observer)) {
-                    fail(us, key + " went back from " + last.get(key) + " " + known + " to " + after.status()
-                            + " " + after.incarnation());
+                if (newer < 0
+                        || newer == 0
+                                && after.status().compareTo(last.get(key)) <= 0
+                                && !after.name().equals("n" + observer)) {
+                    fail(
+                            us,
+                            key
+                                    + " went back from "
+                                    + last.get(key)
+                                    + " "
+                                    + known
+                                    + " to "
+                                    + after.status()
+                                    + " "
+                                    + after.incarnation());
                 }
             }
             newest.put(key, after.incarnation());
@@ -170,7 +192,9 @@
         }
     }
 
-    /** Leaves faults out as long as the run is still bad; what is left is bad without any of them. */
+    /**
+     * Leaves faults out as long as the run is still bad; what is left is bad without any of them.
+     */
     public List<FleetFault> shrink(long seed, List<FleetFault> faults) {
         List<FleetFault> fewest = new ArrayList<>(faults);
         for (int i = fewest.size() - 1; i >= 0; i--) {
--- a/src/main/java/passhatch/lab/fleet/FleetFault.java
+++ b/src/main/java/passhatch/lab/fleet/FleetFault.java
@@ -3,8 +3,8 @@
 import java.util.Locale;
 
 /**
- * A fault in a simulated fleet, in one line: {@code 12000 stop 3 40000} is SIGSTOP of process 3 at 12 s for
- * 40 s.
+ * A fault in a simulated fleet, in one line: {@code 12000 stop 3 40000} is SIGSTOP of process 3 at
+ * 12 s for 40 s.
  *
  * @param atMs since the beginning of the faults
  * @param target a process; for what concerns the network, how it is divided
@@ -22,13 +22,18 @@
         STOP,
         /** Its clock moves on by the value. */
         JUMP,
-        /** Its machine is set back by two starts, and it is started again after the value's time. */
+        /**
+         * Its machine is set back by two starts, and it is started again after the value's time.
+         */
         SET_BACK,
         /** Every k-th process, k the target, is cut off from the others for the value's time. */
         PARTITION,
         /** What those send to the others is lost for the value's time. */
         ONE_WAY,
-        /** The value's percent of all datagrams are lost from now on, and a tenth are doubled and late. */
+        /**
+         * The value's percent of all datagrams are lost from now on, and a tenth are doubled and
+         * late.
+         */
         WEATHER
     }
 
@@ -51,9 +56,13 @@
     public static FleetFault parse(String line) {
         String[] words = line.strip().split(" ");
         if (words.length != 4) {
-            throw new IllegalArgumentException("'" + line + "': expected time, fault, target and value");
+            throw new IllegalArgumentException(
+                    "'" + line + "': expected time, fault, target and value");
         }
-        return new FleetFault(Long.parseLong(words[0]), Kind.valueOf(words[1].toUpperCase(Locale.ROOT)),
-                Integer.parseInt(words[2]), Long.parseLong(words[3]));
+        return new FleetFault(
+                Long.parseLong(words[0]),
+                Kind.valueOf(words[1].toUpperCase(Locale.ROOT)),
+                Integer.parseInt(words[2]),
+                Long.parseLong(words[3]));
     }
 }
--- a/src/main/java/passhatch/lab/fleet/FleetSim.java
+++ b/src/main/java/passhatch/lab/fleet/FleetSim.java
@@ -22,8 +22,8 @@
 import passhatch.lab.Seeds;
 
 /**
- * A fleet in simulated time, on one thread: the same seed and the same calls give the same run. Process i has
- * place i in every process's list of addresses; several processes may claim one name.
+ * A fleet in simulated time, on one thread: the same seed and the same calls give the same run.
+ * Process i has place i in every process's list of addresses; several processes may claim one name.
  */
 public final class FleetSim {
 
@@ -42,6 +42,7 @@
     public record Network(double lost, double doubled, double late, long delayUs, long jitterUs) {
         /** A local network on which all is well. */
         public static final Network FAIR = new Network(0, 0, 0, 200, 800);
+
         /** The same, losing three in ten. */
         public static final Network LOSSY = new Network(0.3, 0, 0, 200, 800);
     }
@@ -52,7 +53,7 @@
         void changed(long us, int observer, Status before, MemberInfo after);
     }
 
-    private record Event(long us, long order, int to, int from, byte[] datagram, Runnable action) { }
+    private record Event(long us, long order, int to, int from, byte[] datagram, Runnable action) {}
 
     /** One process and its machine. */
     private final class Node implements FleetActions {
@@ -134,12 +135,13 @@
     private final Seeds seeds;
     private final UniformRandomProvider random;
     private final List<Node> nodes = new ArrayList<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::us).thenComparingLong(Event::order));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::us).thenComparingLong(Event::order));
     private final List<String> notes = new ArrayList<>();
     private Network network = Network.FAIR;
     private BiPredicate<Integer, Integer> passes = (a, b) -> true;
-    private Watcher watcher = (us, observer, before, after) -> { };
+    private Watcher watcher = (us, observer, before, after) -> {};
     private long nowUs = 1_000_000;
     private long order;
     private long datagrams;
@@ -161,7 +163,15 @@
 
     /** The same for a name of one's own. */
     public static FleetSettings settings(String name, int number, int members) {
-        return new FleetSettings("jackson", name, "0.1.0", "proxy", number, members, 500_000, 16_384,
+        return new FleetSettings(
+                "jackson",
+                name,
+                "0.1.0",
+                "proxy",
+                number,
+                members,
+                500_000,
+                16_384,
                 3_600_000_000L);
     }
 
@@ -218,8 +228,15 @@
             node.epoch++;
             node.stopped = false;
             node.wakeUs = 0;
-            node.membership = new Membership(node.settings, node.localUs(), node.epoch, new SplittableRandom(
-                    seeds.stream("process-" + number + "-" + node.lives++).nextLong()), node);
+            node.membership =
+                    new Membership(
+                            node.settings,
+                            node.localUs(),
+                            node.epoch,
+                            new SplittableRandom(
+                                    seeds.stream("process-" + number + "-" + node.lives++)
+                                            .nextLong()),
+                            node);
             node.plan();
         }
     }
@@ -243,11 +260,13 @@
             Membership leaving = node.membership;
             leaving.leave(node.localUs());
             node.plan();
-            after(1_000_000, () -> {
-                if (node.membership == leaving) {
-                    kill(number);
-                }
-            });
+            after(
+                    1_000_000,
+                    () -> {
+                        if (node.membership == leaving) {
+                            kill(number);
+                        }
+                    });
         }
     }
 
@@ -291,20 +310,28 @@
         nodes.get(number).epoch = Math.max(0, nodes.get(number).epoch - starts);
     }
 
-    /** Makes a process slow for good: it is held for a while, works for a while, held again, and so on. */
+    /**
+     * Makes a process slow for good: it is held for a while, works for a while, held again, and so
+     * on.
+     */
     public void slow(int number, long mostHeldUs, long mostFreeUs) {
         UniformRandomProvider own = seeds.stream("slow-" + number);
         slowAgain(number, mostHeldUs, mostFreeUs, own);
     }
 
-    private void slowAgain(int number, long mostHeldUs, long mostFreeUs, UniformRandomProvider own) {
-        after(1 + own.nextLong(mostFreeUs), () -> {
-            stop(number);
-            after(1 + own.nextLong(mostHeldUs), () -> {
-                cont(number);
-                slowAgain(number, mostHeldUs, mostFreeUs, own);
-            });
-        });
+    private void slowAgain(
+            int number, long mostHeldUs, long mostFreeUs, UniformRandomProvider own) {
+        after(
+                1 + own.nextLong(mostFreeUs),
+                () -> {
+                    stop(number);
+                    after(
+                            1 + own.nextLong(mostHeldUs),
+                            () -> {
+                                cont(number);
+                                slowAgain(number, mostHeldUs, mostFreeUs, own);
+                            });
+                });
     }
 
     /** Plays so much more time. */
@@ -356,7 +383,10 @@
 
     /** What a running process thinks of a member; null where it knows none of that name. */
     public Status says(int number, String name) {
-        return view(number).stream().filter(m -> m.name().equals(name)).map(MemberInfo::status).findAny()
+        return view(number).stream()
+                .filter(m -> m.name().equals(name))
+                .map(MemberInfo::status)
+                .findAny()
                 .orElse(null);
     }
 
@@ -370,17 +400,31 @@
 
     /** Whether all processes that run and are not held have the same view, but for suspicion. */
     public boolean agree() {
-        return nodes.stream().filter(Node::takesPart).map(n -> n.membership.digest()).distinct().count() <= 1;
+        return nodes.stream()
+                        .filter(Node::takesPart)
+                        .map(n -> n.membership.digest())
+                        .distinct()
+                        .count()
+                <= 1;
     }
 
-    /** Whether each process that runs and is not held sees just those as present, and itself among them. */
+    /**
+     * Whether each process that runs and is not held sees just those as present, and itself among
+     * them.
+     */
     public boolean settled() {
-        Set<String> running = nodes.stream().filter(Node::takesPart).map(n -> n.settings.name())
-                .collect(Collectors.toSet());
+        Set<String> running =
+                nodes.stream()
+                        .filter(Node::takesPart)
+                        .map(n -> n.settings.name())
+                        .collect(Collectors.toSet());
         return nodes.stream().filter(Node::takesPart).allMatch(n -> n.membership.sees(running));
     }
 
-    /** Plays on until something holds, looking every so often; microseconds it took, or -1 if it did not. */
+    /**
+     * Plays on until something holds, looking every so often; microseconds it took, or -1 if it did
+     * not.
+     */
     public long until(BooleanSupplier holds, long everyUs, long mostUs) {
         long begun = nowUs;
         while (!holds.getAsBoolean()) {
--- a/src/main/java/passhatch/lab/load/ClientChannel.java
+++ b/src/main/java/passhatch/lab/load/ClientChannel.java
@@ -63,26 +63,35 @@
             write();
             return;
         }
-        ChannelFuture connecting = new Bootstrap().group(sender.loop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_WITHIN_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
-                                ClientChannel.this);
-                    }
-                }).connect(proxy.address());
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(sender.loop())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_WITHIN_MS)
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel ch) {
+                                        ch.pipeline()
+                                                .addLast(
+                                                        new HttpClientCodec(),
+                                                        new HttpObjectAggregator(MOST_BODY),
+                                                        ClientChannel.this);
+                                    }
+                                })
+                        .connect(proxy.address());
         channel = connecting.channel();
         sender.opened();
         channel.closeFuture().addListener(closed -> sender.closed());
-        connecting.addListener(up -> {
-            if (up.isSuccess()) {
-                write();
-            } else {
-                ended(false);
-            }
-        });
+        connecting.addListener(
+                up -> {
+                    if (up.isSuccess()) {
+                        write();
+                    } else {
+                        ended(false);
+                    }
+                });
     }
 
     private void write() {
@@ -91,10 +100,15 @@
             return;
         }
         boolean safe = call.kind().effect() == LoadPlan.Effect.SAFE;
-        var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, safe ? HttpMethod.GET
-                : HttpMethod.POST,
-                "/" + call.kind().path(), safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
-        request.headers().set(HttpHeaderNames.HOST, "origin.svc").set("X-Request-Id", call.id())
+        var request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        safe ? HttpMethod.GET : HttpMethod.POST,
+                        "/" + call.kind().path(),
+                        safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(BODY));
+        request.headers()
+                .set(HttpHeaderNames.HOST, "origin.svc")
+                .set("X-Request-Id", call.id())
                 .set("X-Deadline", call.leftUs() + "u");
         if (!safe) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY.length);
@@ -116,9 +130,11 @@
             sender.keep(proxy, this);
         }
         if (answered != null) {
-            boolean right = answer.decoderResult().isSuccess()
-                    && Arrays.equals(ByteBufUtil.getBytes(answer.content()),
-                            BackendServer.bodyFor(answered.id()));
+            boolean right =
+                    answer.decoderResult().isSuccess()
+                            && Arrays.equals(
+                                    ByteBufUtil.getBytes(answer.content()),
+                                    BackendServer.bodyFor(answered.id()));
             answered.answered(answer.status().code(), right);
         }
     }
--- a/src/main/java/passhatch/lab/load/Front.java
+++ b/src/main/java/passhatch/lab/load/Front.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * What clients come through: it spreads them over the proxies that it takes for alive, and hears of a dead
- * one late. Told by the drill, read by the load's threads.
+ * What clients come through: it spreads them over the proxies that it takes for alive, and hears of
+ * a dead one late. Told by the drill, read by the load's threads.
  */
 public final class Front {
 
--- a/src/main/java/passhatch/lab/load/Load.java
+++ b/src/main/java/passhatch/lab/load/Load.java
@@ -21,16 +21,26 @@
 
     /** A load that has not begun. */
     public Load(LoadPlan plan, Front front, Seeds seeds) {
-        group = new MultiThreadIoEventLoopGroup(plan.threads(), new DefaultThreadFactory("load", true),
-                NioIoHandler.newFactory());
+        group =
+                new MultiThreadIoEventLoopGroup(
+                        plan.threads(),
+                        new DefaultThreadFactory("load", true),
+                        NioIoHandler.newFactory());
         for (int i = 0; i < plan.threads(); i++) {
             EventLoop loop = group.next();
-            senders.add(new Sender(plan, front, loop, seeds.stream("load-" + i), i, outcome -> {
-                ended.increment();
-                if (outcome == Outcome.SERVED) {
-                    served.increment();
-                }
-            }));
+            senders.add(
+                    new Sender(
+                            plan,
+                            front,
+                            loop,
+                            seeds.stream("load-" + i),
+                            i,
+                            outcome -> {
+                                ended.increment();
+                                if (outcome == Outcome.SERVED) {
+                                    served.increment();
+                                }
+                            }));
         }
     }
 
--- a/src/main/java/passhatch/lab/load/LoadPlan.java
+++ b/src/main/java/passhatch/lab/load/LoadPlan.java
@@ -8,16 +8,28 @@
  * @param rate requests a second
  * @param even whether they come evenly; else as a Poisson process
  * @param durationMs how long
- * @param retries how often a client tries again, at another proxy, what was refused, failed or not answered
- * @param connections that are kept to each proxy at most; more are opened when all are busy, and closed after
+ * @param retries how often a client tries again, at another proxy, what was refused, failed or not
+ *     answered
+ * @param connections that are kept to each proxy at most; more are opened when all are busy, and
+ *     closed after
  * @param threads that send
  * @param kinds the classes of requests with their shares
  */
-public record LoadPlan(double rate, boolean even, long durationMs, int retries, int connections, int threads,
+public record LoadPlan(
+        double rate,
+        boolean even,
+        long durationMs,
+        int retries,
+        int connections,
+        int threads,
         List<Kind> kinds) {
 
     /** How a request may be repeated. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /**
      * A class of requests.
@@ -26,5 +38,5 @@
      * @param share of all requests, relative to the other kinds'
      * @param deadlineUs how long its client waits
      */
-    public record Kind(String path, Effect effect, double share, long deadlineUs) { }
+    public record Kind(String path, Effect effect, double share, long deadlineUs) {}
 }
--- a/src/main/java/passhatch/lab/load/Sender.java
+++ b/src/main/java/passhatch/lab/load/Sender.java
@@ -15,8 +15,12 @@
 final class Sender {
 
     private static final long TICK_US = 500;
-    /** Connections that a thread may have open: past that requests wait, and their waiting counts. */
+
+    /**
+     * Connections that a thread may have open: past that requests wait, and their waiting counts.
+     */
     private static final int MOST_OPEN = 2_000;
+
     /** A request without an answer so long after its time is lost. */
     private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -28,8 +32,10 @@
     private final Promise<Tally> done;
     private final Tally tally = new Tally();
     private final Map<Front.Entry, ArrayDeque<ClientChannel>> idle = new HashMap<>();
+
     /** Requests for which no connection may be opened now, the first due first. */
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+
     private int openChannels;
     private final ContinuousSampler gapNs;
     private final double totalShare;
@@ -41,7 +47,12 @@
     private int open;
     private boolean over;
 
-    Sender(LoadPlan plan, Front front, EventLoop loop, UniformRandomProvider random, int number,
+    Sender(
+            LoadPlan plan,
+            Front front,
+            EventLoop loop,
+            UniformRandomProvider random,
+            int number,
             Consumer<Outcome> heard) {
         this.plan = plan;
         this.front = front;
@@ -156,8 +167,10 @@
         private String key;
         private int tries;
         private long sentNs;
+
         /** One that is sent anew as its connection closed unread keeps its id. */
         private boolean resent;
+
         private ClientChannel channel;
         private boolean ended;
 
@@ -222,8 +235,10 @@
         /** An answer has come whole. */
         void answered(int status, boolean bodyIsRight) {
             if (status == 200) {
-                end(!bodyIsRight ? Outcome.SPOILT
-                        : System.nanoTime() <= endNs ? Outcome.SERVED : Outcome.LATE);
+                end(
+                        !bodyIsRight
+                                ? Outcome.SPOILT
+                                : System.nanoTime() <= endNs ? Outcome.SERVED : Outcome.LATE);
             } else if (status == 429 || status == 503) {
                 again(Outcome.REFUSED, true);
             } else {
@@ -248,10 +263,15 @@
             }
         }
 
-        /** Tries once more where that is allowed, harmless and in time; else this is how it ends. */
+        /**
+         * Tries once more where that is allowed, harmless and in time; else this is how it ends.
+         */
         private void again(Outcome outcome, boolean harmless) {
             Front.Entry other = front.next(turn++, proxy);
-            if (harmless && outcome != Outcome.LOST && tries <= plan.retries() && System.nanoTime() < endNs
+            if (harmless
+                    && outcome != Outcome.LOST
+                    && tries <= plan.retries()
+                    && System.nanoTime() < endNs
                     && other != null) {
                 tally.retried();
                 attempt(other);
@@ -262,7 +282,8 @@
 
         private void timeUp() {
             if (!ended) {
-                Outcome outcome = proxy == null || proxy.hurtSince(sentNs) ? Outcome.CUT : Outcome.LOST;
+                Outcome outcome =
+                        proxy == null || proxy.hurtSince(sentNs) ? Outcome.CUT : Outcome.LOST;
                 if (channel != null) {
                     channel.abandon();
                 }
@@ -274,7 +295,9 @@
             if (!ended) {
                 ended = true;
                 open--;
-                tally.ended(TimeUnit.NANOSECONDS.toMillis(dueNs), outcome,
+                tally.ended(
+                        TimeUnit.NANOSECONDS.toMillis(dueNs),
+                        outcome,
                         TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - beganNs - dueNs));
                 heard.accept(outcome);
                 endIfOver();
--- a/src/main/java/passhatch/lab/load/Tally.java
+++ b/src/main/java/passhatch/lab/load/Tally.java
@@ -7,14 +7,15 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What became of the requests, over all of the load and by the time that they were due. Latency counts from
- * the time that a request was due, not from when it could be sent, so that a stall is felt by all requests
- * that it held up (no coordinated omission).
+ * What became of the requests, over all of the load and by the time that they were due. Latency
+ * counts from the time that a request was due, not from when it could be sent, so that a stall is
+ * felt by all requests that it held up (no coordinated omission).
  */
 public final class Tally {
 
     /** Length of one step on the time axis. */
     public static final int STEP_MS = 250;
+
     private static final long MOST_US = 120_000_000;
 
     /** What became of the requests that were due in one step. */
--- a/src/main/java/passhatch/lab/standin/BackendServer.java
+++ b/src/main/java/passhatch/lab/standin/BackendServer.java
@@ -30,13 +30,16 @@
 import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
 
 /**
- * A backend by the protocol's page: cores, slots, a waiting room, a limit on connections, a cold start, and
- * the ways in which it can do badly. All of its state belongs to one event loop.
+ * A backend by the protocol's page: cores, slots, a waiting room, a limit on connections, a cold
+ * start, and the ways in which it can do badly. All of its state belongs to one event loop.
  */
 public final class BackendServer {
 
-    /** A send to a draining backend is allowed for so long after it was told, with the page's slack. */
+    /**
+     * A send to a draining backend is allowed for so long after it was told, with the page's slack.
+     */
     private static final long DRAIN_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(750 + 50);
+
     private static final int MOST_BODY = 1 << 16;
 
     /**
@@ -49,12 +52,23 @@
      * @param coldShare part of its capacity right after a start
      * @param coldUs time in microseconds until it is at its full capacity, which grows evenly
      */
-    public record Shape(int cores, int slots, int queue, int connections, ServiceTime service,
+    public record Shape(
+            int cores,
+            int slots,
+            int queue,
+            int connections,
+            ServiceTime service,
             double coldShare,
-            long coldUs) { }
+            long coldUs) {}
 
     /** How it does. */
-    public enum Health { WELL, SLOW, HUNG, FAILING, RESETTING }
+    public enum Health {
+        WELL,
+        SLOW,
+        HUNG,
+        FAILING,
+        RESETTING
+    }
 
     private final String name;
     private final Shape shape;
@@ -73,8 +87,8 @@
     private InetSocketAddress address;
 
     /** A backend that does not listen yet. */
-    public BackendServer(String name, Shape shape, EventLoop loop, Ledger ledger,
-            UniformRandomProvider random) {
+    public BackendServer(
+            String name, Shape shape, EventLoop loop, Ledger ledger, UniformRandomProvider random) {
         this.name = name;
         this.shape = shape;
         this.loop = loop;
@@ -106,14 +120,15 @@
     /**
      * How it does from now on.
      *
-     * @param howMuch for {@code SLOW} the factor on its times; for {@code FAILING} and {@code RESETTING} the
-     *     share of requests that it happens to; else it has no meaning
+     * @param howMuch for {@code SLOW} the factor on its times; for {@code FAILING} and {@code
+     *     RESETTING} the share of requests that it happens to; else it has no meaning
      */
     public void health(Health now, double howMuch) {
-        loop.execute(() -> {
-            health = now;
-            extent = howMuch;
-        });
+        loop.execute(
+                () -> {
+                    health = now;
+                    extent = howMuch;
+                });
     }
 
     /** It has been told to drain: it finishes what it holds and turns away all else. */
@@ -123,21 +138,25 @@
 
     /** Its process dies: connections are reset, new ones refused, and its work is gone. */
     public void crash() {
-        loop.submit(() -> {
-            listener.close();
-            Set.copyOf(open).forEach(BackendServer::reset);
-            waiting.clear();
-        }).syncUninterruptibly();
+        loop.submit(
+                        () -> {
+                            listener.close();
+                            Set.copyOf(open).forEach(BackendServer::reset);
+                            waiting.clear();
+                        })
+                .syncUninterruptibly();
     }
 
     /** It starts again at the same address, cold. */
     public void restart() throws IOException {
-        loop.submit(() -> {
-            health = Health.WELL;
-            drainingSinceNs = 0;
-            startedNs = System.nanoTime();
-            working = 0;
-        }).syncUninterruptibly();
+        loop.submit(
+                        () -> {
+                            health = Health.WELL;
+                            drainingSinceNs = 0;
+                            startedNs = System.nanoTime();
+                            working = 0;
+                        })
+                .syncUninterruptibly();
         bind(address);
     }
 
@@ -147,18 +166,29 @@
     }
 
     private void bind(InetSocketAddress at) throws IOException {
-        var bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-                                new Connection());
-                    }
-                }).bind(at).awaitUninterruptibly();
+        var bound =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpServerCodec(),
+                                                        new HttpObjectAggregator(MOST_BODY),
+                                                        new Connection());
+                                    }
+                                })
+                        .bind(at)
+                        .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException(name + " cannot listen at " + at + ": " + bound.cause().getMessage());
+            throw new IOException(
+                    name + " cannot listen at " + at + ": " + bound.cause().getMessage());
         }
         listener = bound.channel();
         address = (InetSocketAddress) listener.localAddress();
@@ -172,7 +202,7 @@
     // ---- requests
 
     /** A request that has come whole. */
-    private record Job(Channel channel, String id) { }
+    private record Job(Channel channel, String id) {}
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
@@ -192,8 +222,9 @@
                 answer(ctx.channel(), HttpResponseStatus.NOT_FOUND, new byte[0], false);
                 return;
             }
-            boolean onceOnly = request.method().equals(HttpMethod.POST)
-                    && !request.headers().contains("Idempotency-Key");
+            boolean onceOnly =
+                    request.method().equals(HttpMethod.POST)
+                            && !request.headers().contains("Idempotency-Key");
             boolean draining = drainingSinceNs != 0;
             if (draining && System.nanoTime() - drainingSinceNs > DRAIN_GRACE_NS) {
                 ledger.afterDrain();
@@ -223,20 +254,24 @@
             working++;
             double us = work.sample() * Math.max(1, (double) working / shape.cores()) / capacity();
             long life = startedNs;
-            loop.schedule(() -> {
-                if (life == startedNs) {
-                    working--;
-                    finish(job);
-                    workOn();
-                }
-            }, (long) (health == Health.SLOW ? us * extent : us), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (life == startedNs) {
+                            working--;
+                            finish(job);
+                            workOn();
+                        }
+                    },
+                    (long) (health == Health.SLOW ? us * extent : us),
+                    TimeUnit.MICROSECONDS);
         }
     }
 
     /** The part of its full capacity that it has by now. */
     private double capacity() {
         double age = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startedNs);
-        return age >= shape.coldUs() ? 1
+        return age >= shape.coldUs()
+                ? 1
                 : shape.coldShare() + (1 - shape.coldShare()) * age / shape.coldUs();
     }
 
@@ -251,9 +286,11 @@
         }
     }
 
-    private static void answer(Channel channel, HttpResponseStatus status, byte[] body, boolean notRun) {
-        var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(body));
+    private static void answer(
+            Channel channel, HttpResponseStatus status, byte[] body, boolean notRun) {
+        var response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (notRun) {
             response.headers().set("X-Not-Run", "1");
--- a/src/main/java/passhatch/lab/standin/DiscoveryServer.java
+++ b/src/main/java/passhatch/lab/standin/DiscoveryServer.java
@@ -37,8 +37,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Discovery by the protocol's page: the whole list, and watches that carry one line for each change. It can
- * go down, stall, or tell late. All of its state belongs to one event loop.
+ * Discovery by the protocol's page: the whole list, and watches that carry one line for each
+ * change. It can go down, stall, or tell late. All of its state belongs to one event loop.
  */
 public final class DiscoveryServer {
 
@@ -52,14 +52,27 @@
      */
     public record Entry(String name, InetSocketAddress address, String status, long sinceMs) {
         private Map<String, Object> json() {
-            return Map.of("name", name, "address", address.getAddress().getHostAddress() + ":"
-                    + address.getPort(),
-                    "zone", "a", "type", "m", "group", 0, "status", status, "weight", 1.0, "since_ms",
-                            sinceMs);
+            return Map.of(
+                    "name",
+                    name,
+                    "address",
+                    address.getAddress().getHostAddress() + ":" + address.getPort(),
+                    "zone",
+                    "a",
+                    "type",
+                    "m",
+                    "group",
+                    0,
+                    "status",
+                    status,
+                    "weight",
+                    1.0,
+                    "since_ms",
+                    sinceMs);
         }
     }
 
-    private record Versioned(long index, Entry entry) { }
+    private record Versioned(long index, Entry entry) {}
 
     private final EventLoop loop;
     private final Map<String, Versioned> entries = new LinkedHashMap<>();
@@ -74,7 +87,8 @@
     /** A service that does not listen yet. */
     public DiscoveryServer(EventLoop loop) {
         this.loop = loop;
-        loop.scheduleAtFixedRate(() -> tell("\n"), EMPTY_LINE_MS, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                () -> tell("\n"), EMPTY_LINE_MS, EMPTY_LINE_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts to listen on a port that the system chooses. */
@@ -86,28 +100,36 @@
         return address;
     }
 
-    /** Takes entries into the list, or changes them, in one version; {@code DELETED} ones leave it. */
+    /**
+     * Takes entries into the list, or changes them, in one version; {@code DELETED} ones leave it.
+     */
     public void update(Collection<Entry> changed) {
-        loop.submit(() -> {
-            index++;
-            changed.forEach(e -> entries.put(e.name(), new Versioned(index, e)));
-            String line = text(index, false, changed.stream().map(Entry::json).toList()) + "\n";
-            if (lateMs > 0) {
-                loop.schedule(() -> tell(line), lateMs, TimeUnit.MILLISECONDS);
-            } else {
-                tell(line);
-            }
-        }).syncUninterruptibly();
+        loop.submit(
+                        () -> {
+                            index++;
+                            changed.forEach(e -> entries.put(e.name(), new Versioned(index, e)));
+                            String line =
+                                    text(index, false, changed.stream().map(Entry::json).toList())
+                                            + "\n";
+                            if (lateMs > 0) {
+                                loop.schedule(() -> tell(line), lateMs, TimeUnit.MILLISECONDS);
+                            } else {
+                                tell(line);
+                            }
+                        })
+                .syncUninterruptibly();
     }
 
     // ---- faults
 
     /** It is down: watches end, and calls are refused until {@link #up}. */
     public void down() {
-        loop.submit(() -> {
-            listener.close();
-            Set.copyOf(open).forEach(Channel::close);
-        }).syncUninterruptibly();
+        loop.submit(
+                        () -> {
+                            listener.close();
+                            Set.copyOf(open).forEach(Channel::close);
+                        })
+                .syncUninterruptibly();
     }
 
     /** It is there again, at the same address. */
@@ -122,13 +144,14 @@
 
     /** Whether it says nothing: connections stay open and silent. */
     public void stall(boolean on) {
-        loop.execute(() -> {
-            stalled = on;
-            if (!on) {
-                // What was to be told meanwhile is told by the calls that follow the break.
-                Set.copyOf(open).forEach(Channel::close);
-            }
-        });
+        loop.execute(
+                () -> {
+                    stalled = on;
+                    if (!on) {
+                        // What was to be told meanwhile is told by the calls that follow the break.
+                        Set.copyOf(open).forEach(Channel::close);
+                    }
+                });
     }
 
     /** Changes are told so much later from now on, in milliseconds; 0 for at once. */
@@ -144,17 +167,27 @@
     // ---- calls
 
     private void bind(InetSocketAddress at) throws IOException {
-        var bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                                new Caller());
-                    }
-                }).bind(at).awaitUninterruptibly();
+        var bound =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new HttpServerCodec(),
+                                                        new HttpObjectAggregator(1 << 16),
+                                                        new Caller());
+                                    }
+                                })
+                        .bind(at)
+                        .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException("discovery cannot listen at " + at + ": " + bound.cause().getMessage());
+            throw new IOException(
+                    "discovery cannot listen at " + at + ": " + bound.cause().getMessage());
         }
         listener = bound.channel();
         address = (InetSocketAddress) listener.localAddress();
@@ -164,10 +197,13 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             open.add(ctx.channel());
-            ctx.channel().closeFuture().addListener(closed -> {
-                open.remove(ctx.channel());
-                watches.remove(ctx.channel());
-            });
+            ctx.channel()
+                    .closeFuture()
+                    .addListener(
+                            closed -> {
+                                open.remove(ctx.channel());
+                                watches.remove(ctx.channel());
+                            });
         }
 
         @Override
@@ -179,8 +215,9 @@
             if (!uri.path().equals("/v1/endpoints")) {
                 whole(ctx.channel(), HttpResponseStatus.NOT_FOUND, "");
             } else if (uri.parameters().containsKey("watch")) {
-                watch(ctx.channel(), Long.parseLong(uri.parameters().getOrDefault("from", List.of("0"))
-                        .get(0)));
+                watch(
+                        ctx.channel(),
+                        Long.parseLong(uri.parameters().getOrDefault("from", List.of("0")).get(0)));
             } else {
                 whole(ctx.channel(), HttpResponseStatus.OK, list());
             }
@@ -197,14 +234,28 @@
         head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         channel.write(head);
         watches.add(channel);
-        String first = from > 0 && from <= index ? text(index, false, entries.values().stream()
-                .filter(v -> v.index() > from).map(v -> v.entry().json()).toList()) : list();
+        String first =
+                from > 0 && from <= index
+                        ? text(
+                                index,
+                                false,
+                                entries.values().stream()
+                                        .filter(v -> v.index() > from)
+                                        .map(v -> v.entry().json())
+                                        .toList())
+                        : list();
         channel.writeAndFlush(new DefaultHttpContent(bytes(first + "\n")));
     }
 
     private String list() {
-        return text(index, true, entries.values().stream().map(Versioned::entry)
-                .filter(e -> !e.status().equals("DELETED")).map(Entry::json).toList());
+        return text(
+                index,
+                true,
+                entries.values().stream()
+                        .map(Versioned::entry)
+                        .filter(e -> !e.status().equals("DELETED"))
+                        .map(Entry::json)
+                        .toList());
     }
 
     private void tell(String line) {
@@ -226,7 +277,8 @@
 
     private static String text(long index, boolean whole, List<Map<String, Object>> endpoints) {
         try {
-            return JSON.writeValueAsString(Map.of("index", index, "snapshot", whole, "endpoints", endpoints));
+            return JSON.writeValueAsString(
+                    Map.of("index", index, "snapshot", whole, "endpoints", endpoints));
         } catch (JsonProcessingException cannotBe) {
             throw new IllegalStateException(cannotBe);
         }
--- a/src/main/java/passhatch/lab/standin/Ledger.java
+++ b/src/main/java/passhatch/lab/standin/Ledger.java
@@ -11,7 +11,7 @@
     public static final int MOST_ATTEMPTS = 3;
 
     /** Of one request: how often it came, and how often it may have run. */
-    private record Seen(int attempts, int runs, boolean onceOnly) { }
+    private record Seen(int attempts, int runs, boolean onceOnly) {}
 
     private final Map<String, Seen> requests = new ConcurrentHashMap<>();
     private final LongAdder attempts = new LongAdder();
@@ -25,11 +25,15 @@
      */
     void arrived(String id, boolean onceOnly, boolean runs) {
         attempts.increment();
-        requests.merge(id, new Seen(1, runs ? 1 : 0, onceOnly), (a, b) ->
-                new Seen(a.attempts + b.attempts, a.runs + b.runs, onceOnly));
+        requests.merge(
+                id,
+                new Seen(1, runs ? 1 : 0, onceOnly),
+                (a, b) -> new Seen(a.attempts + b.attempts, a.runs + b.runs, onceOnly));
     }
 
-    /** A request came to a backend that had been told to drain, after the time that the rules allow. */
+    /**
+     * A request came to a backend that had been told to drain, after the time that the rules allow.
+     */
     void afterDrain() {
         afterDrain.increment();
     }
--- a/src/main/java/passhatch/lab/standin/ServiceTime.java
+++ b/src/main/java/passhatch/lab/standin/ServiceTime.java
@@ -16,7 +16,12 @@
 public record ServiceTime(Distribution distribution, double meanUs, double sigma) {
 
     /** The distributions that times are drawn from. */
-    public enum Distribution { CONSTANT, EXPONENTIAL, LOGNORMAL, UNIFORM }
+    public enum Distribution {
+        CONSTANT,
+        EXPONENTIAL,
+        LOGNORMAL,
+        UNIFORM
+    }
 
     /** A stream of times in microseconds. */
     ContinuousSampler sampler(UniformRandomProvider random) {
@@ -25,8 +30,11 @@
             case EXPONENTIAL -> ZigguratSampler.Exponential.of(random, meanUs);
             case UNIFORM -> ContinuousUniformSampler.of(random, 0, 2 * meanUs);
             // The mean of a log-normal value is exp(mu + sigma^2 / 2).
-            case LOGNORMAL -> LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random),
-                    Math.log(meanUs) - sigma * sigma / 2, sigma);
+            case LOGNORMAL ->
+                    LogNormalSampler.of(
+                            ZigguratSampler.NormalizedGaussian.of(random),
+                            Math.log(meanUs) - sigma * sigma / 2,
+                            sigma);
         };
     }
 }
--- a/src/main/java/passhatch/lab/standin/UdpRelay.java
+++ b/src/main/java/passhatch/lab/standin/UdpRelay.java
@@ -21,10 +21,12 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * The way between the program's processes: each of them has one address for every other, and a datagram to it
- * comes out at that one from the sender's own address there; or late, twice, out of order, cut, or never.
+ * The way between the program's processes: each of them has one address for every other, and a
+ * datagram to it comes out at that one from the sender's own address there; or late, twice, out of
+ * order, cut, or never.
  *
- * <p>One thread carries them all. A datagram over the platform's 256 bytes is counted and not carried.
+ * <p>One thread carries them all. A datagram over the platform's 256 bytes is counted and not
+ * carried.
  */
 public final class UdpRelay implements Closeable {
 
@@ -41,15 +43,20 @@
      * @param delayUs how late all arrive, in microseconds
      * @param jitterUs and up to so much more, drawn evenly
      */
-    public record Weather(double lost, double doubled, double cut, double reordered, long delayUs,
+    public record Weather(
+            double lost,
+            double doubled,
+            double cut,
+            double reordered,
+            long delayUs,
             long jitterUs) {
         /** Nothing happens. */
         public static final Weather FAIR = new Weather(0, 0, 0, 0, 0, 0);
     }
 
-    private record Link(int from, int to) { }
+    private record Link(int from, int to) {}
 
-    private record Due(long atNs, long number, Link link, byte[] bytes) { }
+    private record Due(long atNs, long number, Link link, byte[] bytes) {}
 
     private final Selector selector = Selector.open();
     private final UniformRandomProvider random;
@@ -59,8 +66,8 @@
     private final PriorityQueue<Due> late =
             new PriorityQueue<>(Comparator.comparingLong(Due::atNs).thenComparingLong(Due::number));
     private final AtomicReference<Weather> weather = new AtomicReference<>(Weather.FAIR);
-    private final AtomicReference<BiPredicate<Integer, Integer>> passes = new AtomicReference<>((a, b) ->
-            true);
+    private final AtomicReference<BiPredicate<Integer, Integer>> passes =
+            new AtomicReference<>((a, b) -> true);
     private final LongAdder carried = new LongAdder();
     private final LongAdder dropped = new LongAdder();
     private final LongAdder tooLong = new LongAdder();
@@ -68,7 +75,8 @@
     private long number;
 
     /**
-     * Opens a socket for each ordered pair of members; their listening addresses come by {@link #listens}.
+     * Opens a socket for each ordered pair of members; their listening addresses come by {@link
+     * #listens}.
      *
      * @throws IOException where there are not enough descriptors or ports
      */
@@ -133,9 +141,14 @@
         ByteBuffer buffer = ByteBuffer.allocate(1 << 16);
         try {
             while (selector.isOpen()) {
-                long waitMs = late.isEmpty() ? 0
-                        : Math.max(1, TimeUnit.NANOSECONDS.toMillis(late.peek().atNs() - System.nanoTime())
-                                + 1);
+                long waitMs =
+                        late.isEmpty()
+                                ? 0
+                                : Math.max(
+                                        1,
+                                        TimeUnit.NANOSECONDS.toMillis(
+                                                        late.peek().atNs() - System.nanoTime())
+                                                + 1);
                 selector.select(key -> take(key, buffer), waitMs);
                 while (!late.isEmpty() && late.peek().atNs() <= System.nanoTime()) {
                     deliver(late.poll());
@@ -169,15 +182,20 @@
             dropped.increment();
             return;
         }
-        byte[] whole = random.nextDouble() < now.cut() ? Arrays.copyOf(bytes, bytes.length / 2) : bytes;
+        byte[] whole =
+                random.nextDouble() < now.cut() ? Arrays.copyOf(bytes, bytes.length / 2) : bytes;
         int copies = random.nextDouble() < now.doubled() ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             long delayUs = now.delayUs() + (long) (random.nextDouble() * now.jitterUs());
             if (random.nextDouble() < now.reordered()) {
                 delayUs = 10 * delayUs + 20_000;
             }
-            Due due = new Due(System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(delayUs), number++, link,
-                    whole);
+            Due due =
+                    new Due(
+                            System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(delayUs),
+                            number++,
+                            link,
+                            whole);
             if (delayUs == 0) {
                 deliver(due);
             } else {
@@ -193,8 +211,10 @@
             to = listens[due.link().to()];
         }
         try {
-            if (to == null || sockets[due.link().to()][due.link().from()].send(ByteBuffer.wrap(due.bytes()),
-                    to) == 0) {
+            if (to == null
+                    || sockets[due.link().to()][due.link().from()].send(
+                                    ByteBuffer.wrap(due.bytes()), to)
+                            == 0) {
                 dropped.increment();
             } else {
                 carried.increment();
--- a/src/main/java/passhatch/proxy/EndPlan.java
+++ b/src/main/java/passhatch/proxy/EndPlan.java
@@ -1,15 +1,16 @@
 package passhatch.proxy;
 
 /**
- * When a process that was told to end does what, in milliseconds after the order. The protocol page gives the
- * figures: new connections go on coming for up to 0.4 s, and SIGKILL comes no sooner than 0.7 s beyond the
- * longest deadline, of which 3 s count at most.
+ * When a process that was told to end does what, in milliseconds after the order. The protocol page
+ * gives the figures: new connections go on coming for up to 0.4 s, and SIGKILL comes no sooner than
+ * 0.7 s beyond the longest deadline, of which 3 s count at most.
  *
  * @param stopListeningMs no more connections are taken
- * @param leaveMs clients are sent away, with an answer or between two. Until then open connections are served
- *     on, as the proxies that their clients would turn to may be down as well: in a rolling restart the one
- *     before may not be back yet
- * @param answerMs all that was taken is answered by then; a request taken up to {@code leaveMs} has time left
+ * @param leaveMs clients are sent away, with an answer or between two. Until then open connections
+ *     are served on, as the proxies that their clients would turn to may be down as well: in a
+ *     rolling restart the one before may not be back yet
+ * @param answerMs all that was taken is answered by then; a request taken up to {@code leaveMs} has
+ *     time left
  * @param killMs SIGKILL may come
  */
 record EndPlan(long stopListeningMs, long leaveMs, long answerMs, long killMs) {
@@ -17,10 +18,16 @@
     private static final long ACCEPT_ON_MS = 500;
     private static final long KILL_SLACK_MS = 700;
     private static final long KILL_DEADLINE_MS = 3_000;
+
     /** Answers go out at least this long before SIGKILL, where deadlines leave room for it. */
     private static final long ANSWER_AHEAD_MS = 300;
-    /** And nothing is taken any more this long before it: the last requests need some time to be served. */
+
+    /**
+     * And nothing is taken any more this long before it: the last requests need some time to be
+     * served.
+     */
     private static final long LEAVE_AHEAD_MS = 1_200;
+
     /** The last request taken has this long at least, or its deadline where that is shorter. */
     private static final long LEAST_SERVED_MS = 100;
 
@@ -28,7 +35,12 @@
     static EndPlan of(long longestDeadlineMs) {
         long killMs = Math.min(longestDeadlineMs, KILL_DEADLINE_MS) + KILL_SLACK_MS;
         long leaveMs = Math.max(ACCEPT_ON_MS, killMs - LEAVE_AHEAD_MS);
-        return new EndPlan(ACCEPT_ON_MS, leaveMs, Math.max(killMs - ANSWER_AHEAD_MS,
-                leaveMs + Math.min(longestDeadlineMs, LEAST_SERVED_MS)), killMs);
+        return new EndPlan(
+                ACCEPT_ON_MS,
+                leaveMs,
+                Math.max(
+                        killMs - ANSWER_AHEAD_MS,
+                        leaveMs + Math.min(longestDeadlineMs, LEAST_SERVED_MS)),
+                killMs);
     }
 }
--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -13,12 +13,16 @@
     final ProxyRequest request;
     final Responder responder;
     final List<Attempt> attempts = new ArrayList<>(2);
+
     /** When it must be answered; not known before all of it has come. */
     long deadlineUs = Long.MAX_VALUE;
+
     Future<?> backstop;
     boolean uploading;
+
     /** Its final answer is settled. */
     boolean answered;
+
     /** And given, or its client has left. */
     boolean ended;
 
@@ -35,12 +39,16 @@
     static final class Attempt {
         final int number;
         final String server;
+
         /** When it was sent; where its body went out as it came, when that had all gone. */
         long sentAtUs;
+
         /** When all of it had been written; 0 before. */
         long writtenAtUs;
+
         /** Its answer is passed on as it comes. */
         boolean streams;
+
         BackendPool.Handle handle;
         Outcome outcome;
 
--- a/src/main/java/passhatch/proxy/KnownBackends.java
+++ b/src/main/java/passhatch/proxy/KnownBackends.java
@@ -11,13 +11,13 @@
 import passhatch.proxy.discovery.EndpointList;
 
 /**
- * The backends' addresses and what the list says of them. An address stays known also when its backend has
- * left the list: the module may still name it.
+ * The backends' addresses and what the list says of them. An address stays known also when its
+ * backend has left the list: the module may still name it.
  */
 final class KnownBackends {
 
     /** One backend. */
-    private record Backend(InetSocketAddress address, ServerStatus status) { }
+    private record Backend(InetSocketAddress address, ServerStatus status) {}
 
     private final Map<String, Backend> byName = new HashMap<>();
 
@@ -30,12 +30,15 @@
         if (list.whole()) {
             Set<String> gone = new HashSet<>(byName.keySet());
             list.endpoints().forEach(e -> gone.remove(e.server().id()));
-            gone.forEach(name -> byName.computeIfPresent(name,
-                    (n, b) -> new Backend(b.address(), ServerStatus.GONE)));
+            gone.forEach(
+                    name ->
+                            byName.computeIfPresent(
+                                    name, (n, b) -> new Backend(b.address(), ServerStatus.GONE)));
         }
         List<InetSocketAddress> left = new ArrayList<>();
         for (EndpointList.Endpoint e : list.endpoints()) {
-            Backend before = byName.put(e.server().id(), new Backend(e.address(), e.server().status()));
+            Backend before =
+                    byName.put(e.server().id(), new Backend(e.address(), e.server().status()));
             if (before != null && !before.address().equals(e.address())) {
                 left.add(before.address());
             }
--- a/src/main/java/passhatch/proxy/Messages.java
+++ b/src/main/java/passhatch/proxy/Messages.java
@@ -14,7 +14,7 @@
 /** What goes out to backends. */
 final class Messages {
 
-    private Messages() { }
+    private Messages() {}
 
     /**
      * A request as it goes to a backend, or its head where its body follows as it comes.
@@ -33,13 +33,19 @@
             }
         } else {
             byte[] kept = body.kept();
-            message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-                    Unpooled.wrappedBuffer(kept));
+            message =
+                    new DefaultFullHttpRequest(
+                            HttpVersion.HTTP_1_1,
+                            request.method(),
+                            request.uri(),
+                            Unpooled.wrappedBuffer(kept));
             if (!request.method().equals(HttpMethod.GET) || kept.length > 0) {
                 message.headers().set(HttpHeaderNames.CONTENT_LENGTH, kept.length);
             }
         }
-        message.headers().set(HttpHeaderNames.HOST, "backend").set("X-Request-Id", request.id())
+        message.headers()
+                .set(HttpHeaderNames.HOST, "backend")
+                .set("X-Request-Id", request.id())
                 .set("X-Deadline", Math.max(1, leftUs) + "u");
         if (request.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", request.idempotencyKey());
@@ -49,8 +55,8 @@
 
     /** Asks a backend for its load. */
     static HttpRequest probe() {
-        HttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                "/status/load");
+        HttpRequest message =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/status/load");
         message.headers().set(HttpHeaderNames.HOST, "backend");
         return message;
     }
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -28,10 +28,22 @@
  * @param control where operators ask, or null
  * @param folder of this proxy's processes, or null
  */
-record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> models, long connectTimeoutUs, int sockets, long memoryBytes, EndpointList known,
-        InetSocketAddress control, Path folder) {
+record ProxyConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        Settings settings,
+        List<String> classes,
+        List<String> tenants,
+        List<String> zones,
+        List<String> models,
+        long connectTimeoutUs,
+        int sockets,
+        long memoryBytes,
+        EndpointList known,
+        InetSocketAddress control,
+        Path folder) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -71,13 +83,23 @@
             }
         }
         Object ms = params.get("limits") instanceof Map<?, ?> m ? m.get("connectTimeoutUs") : null;
-        return new ProxyConfig(name, listen, discovery, seed(file.get("seed")), settings,
-                names(params, "categories"), names(params, "tenants"), zones, models,
+        return new ProxyConfig(
+                name,
+                listen,
+                discovery,
+                seed(file.get("seed")),
+                settings,
+                names(params, "categories"),
+                names(params, "tenants"),
+                zones,
+                models,
                 ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
                 limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS,
-                (limits.get("memory_mb") instanceof Number n ? n.longValue() : DEFAULT_MEMORY_MB) << 20,
+                (limits.get("memory_mb") instanceof Number n ? n.longValue() : DEFAULT_MEMORY_MB)
+                        << 20,
                 known,
-                control(env.get("PROXY_CONTROL"), file.get("control")), folder(env.get("TMPDIR")));
+                control(env.get("PROXY_CONTROL"), file.get("control")),
+                folder(env.get("TMPDIR")));
     }
 
     /** Without an address nothing listens for operators. */
@@ -131,7 +153,9 @@
     /** The seed is sixteen hex digits, or a number. */
     private static long seed(Object seed) throws BadConfig {
         try {
-            return seed instanceof Number n ? n.longValue() : new BigInteger((String) seed, 16).longValue();
+            return seed instanceof Number n
+                    ? n.longValue()
+                    : new BigInteger((String) seed, 16).longValue();
         } catch (ClassCastException | NumberFormatException | NullPointerException bad) {
             throw new BadConfig("config: seed is missing or not hexadecimal");
         }
@@ -146,7 +170,9 @@
     }
 
     private static List<String> strings(Map<String, Object> in, String key) {
-        return in.get(key) instanceof List<?> list ? list.stream().map(String::valueOf).toList() : List.of();
+        return in.get(key) instanceof List<?> list
+                ? list.stream().map(String::valueOf).toList()
+                : List.of();
     }
 
     private static List<String> names(Map<String, Object> in, String key) {
