--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -36,34 +36,41 @@
 import passhatch.proxy.flow.RequestBody;
 
 /**
- * The only caller of the decision module: tells it what happens and does what it asks. It holds the state of
- * the requests taken and sees to it that each gets exactly one final answer in time.
+ * The only caller of the decision module: tells it what happens and does what it asks. It holds the
+ * state of the requests taken and sees to it that each gets exactly one final answer in time.
  */
 final class ProxyLoop implements Actions, Discovery.Listener, RequestHandler {
 
     /**
-     * How long before its client's time is up a request ends here: the answer has to travel, and the loop may
-     * be late. Of a short time it is a part only.
+     * How long before its client's time is up a request ends here: the answer has to travel, and
+     * the loop may be late. Of a short time it is a part only.
      */
     private static final long ANSWER_MARGIN_US = 20_000;
+
     private static final long MARGIN_PART = 8;
+
     /** One part in so many of a client's time is the most that hold-ups may take of it. */
     private static final long MOST_AHEAD = 4;
+
     /** How long after that the answer is given here if the module has given none. */
     private static final long BACKSTOP_US = 5_000;
+
     /**
-     * A probe is given up after this: a load that old is no longer true, and the module takes the time of
-     * each answer into the mean that it waits for.
+     * A probe is given up after this: a load that old is no longer true, and the module takes the
+     * time of each answer into the mean that it waits for.
      */
     private static final long PROBE_TIMEOUT_US = 50_000;
+
     /** A message may be so long on its way, with the handshake of a new connection before it. */
     private static final long ON_ITS_WAY_US = 100_000;
+
     /**
-     * A process that was given a list at its start and gets no answer from discovery serves by that list
-     * after this: in an outage, or with too many callers after one, none that starts would be put to use
-     * else. What there is to tell counts as told by then.
+     * A process that was given a list at its start and gets no answer from discovery serves by that
+     * list after this: in an outage, or with too many callers after one, none that starts would be
+     * put to use else. What there is to tell counts as told by then.
      */
     private static final long KNOWN_SERVES_AFTER_US = 6_000_000;
+
     /** A body that has not come whole by then never will: the slowest is sent at 64 kB a second. */
     private static final long LONGEST_UPLOAD_US = 600_000_000;
 
@@ -82,19 +89,29 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean deciding;
     private boolean listed;
+
     /** When requests should come here though no list has come in. */
     private final long servesKnownAtUs;
+
     private int unanswered;
+
     /** Of these, requests whose bodies are still coming. */
     private int uploading;
+
     /** What is taken from now on is answered by then. */
     private long lastAnswerUs = Long.MAX_VALUE;
 
     /** Something to tell the module. */
-    private record Event(Exchange about, Runnable tell) { }
-
-    ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
-            HoldUps holdUps, ProxyServer.Module module) {
+    private record Event(Exchange about, Runnable tell) {}
+
+    ProxyLoop(
+            EventLoop loop,
+            Clock clock,
+            EventLog log,
+            ProxyConfig config,
+            BackendPool pool,
+            HoldUps holdUps,
+            ProxyServer.Module module) {
         this.figures = new Figures(config.classes());
         this.loop = loop;
         this.clock = clock;
@@ -103,13 +120,23 @@
         this.holdUps = holdUps;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.classes = config.settings().classes();
-        this.discovery = new Discovery(loop, log, new Discovery.Source(config.discovery(),
-                config.known(), config.settings().watch(), config.zones(), config.models(),
-                config.settings().rules().drainGraceUs()),
-                config.seed(), this);
+        this.discovery =
+                new Discovery(
+                        loop,
+                        log,
+                        new Discovery.Source(
+                                config.discovery(),
+                                config.known(),
+                                config.settings().watch(),
+                                config.zones(),
+                                config.models(),
+                                config.settings().rules().drainGraceUs()),
+                        config.seed(),
+                        this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
-        servesKnownAtUs = backends.listed() == 0 ? Long.MAX_VALUE : clock.nowUs() + KNOWN_SERVES_AFTER_US;
+        servesKnownAtUs =
+                backends.listed() == 0 ? Long.MAX_VALUE : clock.nowUs() + KNOWN_SERVES_AFTER_US;
         if (!config.settings().watch()) {
             discovery.watch();
         }
@@ -137,7 +164,8 @@
 
     /** What operators are told, a line each. */
     String figures() {
-        return figures.text(unanswered - uploading, backends.listed(), balancer.hostsDown(clock.nowUs()));
+        return figures.text(
+                unanswered - uploading, backends.listed(), balancer.hostsDown(clock.nowUs()));
     }
 
     /** Discovery is found at another address from now on. */
@@ -153,15 +181,22 @@
 
     private void remember(EndpointList known) {
         learn(known);
-        tell(null, () -> balancer.serversChanged(clock.nowUs(), ListKind.REMEMBERED, known.servers()));
+        tell(
+                null,
+                () -> balancer.serversChanged(clock.nowUs(), ListKind.REMEMBERED, known.servers()));
     }
 
     @Override
     public void listed(EndpointList list) {
         learn(list);
         listed = true;
-        tell(null, () -> balancer.serversChanged(clock.nowUs(),
-                list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers()));
+        tell(
+                null,
+                () ->
+                        balancer.serversChanged(
+                                clock.nowUs(),
+                                list.whole() ? ListKind.WHOLE : ListKind.CHANGES,
+                                list.servers()));
     }
 
     @Override
@@ -188,12 +223,20 @@
             runClock(e, unreadUs);
         }
         long givenUs = e.uploading ? request.budgetUs() : 0;
-        tell(e, () -> {
-            long at = clock.nowUs();
-            balancer.request(at, new Request(request.id(), request.requestClass(), request.tenant(),
-                    Math.max(0, givenUs > 0 ? givenUs : e.deadlineUs - at), request.workUs(),
-                    request.retry()));
-        });
+        tell(
+                e,
+                () -> {
+                    long at = clock.nowUs();
+                    balancer.request(
+                            at,
+                            new Request(
+                                    request.id(),
+                                    request.requestClass(),
+                                    request.tenant(),
+                                    Math.max(0, givenUs > 0 ? givenUs : e.deadlineUs - at),
+                                    request.workUs(),
+                                    request.retry()));
+                });
         return true;
     }
 
@@ -223,13 +266,18 @@
 
     private void runClock(Exchange e, long unreadUs) {
         long now = clock.nowUs();
-        // A process that is held up now and then cannot tell when: it answers so much sooner, if time allows.
+        // A process that is held up now and then cannot tell when: it answers so much sooner, if
+        // time allows.
         long budgetUs = e.request.budgetUs();
-        long aheadUs = Math.min(ANSWER_MARGIN_US, budgetUs / MARGIN_PART)
-                + Math.min(holdUps.answerAheadUs(), budgetUs / MOST_AHEAD);
+        long aheadUs =
+                Math.min(ANSWER_MARGIN_US, budgetUs / MARGIN_PART)
+                        + Math.min(holdUps.answerAheadUs(), budgetUs / MOST_AHEAD);
         e.deadlineUs = Math.min(now + budgetUs - unreadUs - aheadUs, lastAnswerUs);
-        e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
-                TimeUnit.MICROSECONDS);
+        e.backstop =
+                loop.schedule(
+                        () -> overdue(e),
+                        Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
+                        TimeUnit.MICROSECONDS);
     }
 
     @Override
@@ -257,7 +305,9 @@
         }
     }
 
-    /** Guards against a request that the module holds too long: it is answered here, just in time. */
+    /**
+     * Guards against a request that the module holds too long: it is answered here, just in time.
+     */
     private void overdue(Exchange e) {
         if (!e.answered) {
             log.line("request " + e.request.id() + " was not answered in time by the module");
@@ -276,21 +326,30 @@
         decide(e);
         attempt.streams = true;
         log.trace("streams", e.request.id(), stream.length());
-        tell(e, () -> balancer.streamStarted(clock.nowUs(), e.request.id(), attempt.number, attempt.server,
-                elapsedUs(attempt)));
-        e.responder.stream(stream, new Relay.Listener() {
-            @Override
-            public void passed() {
-                end(e, Figures.Ending.SERVED);
-                forget(e);
-            }
+        tell(
+                e,
+                () ->
+                        balancer.streamStarted(
+                                clock.nowUs(),
+                                e.request.id(),
+                                attempt.number,
+                                attempt.server,
+                                elapsedUs(attempt)));
+        e.responder.stream(
+                stream,
+                new Relay.Listener() {
+                    @Override
+                    public void passed() {
+                        end(e, Figures.Ending.SERVED);
+                        forget(e);
+                    }
 
-            @Override
-            public void broken() {
-                clientGone(e.request.id());
-                e.responder.broken();
-            }
-        });
+                    @Override
+                    public void broken() {
+                        clientGone(e.request.id());
+                        e.responder.broken();
+                    }
+                });
     }
 
     private long elapsedUs(Exchange.Attempt attempt) {
@@ -309,17 +368,38 @@
         }
         boolean ended = e.answered;
         if (result.outcome() != Outcome.OK && result.outcome() != Outcome.CANCELLED) {
-            log.line("attempt " + attempt.number + " of " + e.request.id() + " at " + attempt.server + ": "
-                    + result.outcome() + " after " + elapsedUs + " us");
+            log.line(
+                    "attempt "
+                            + attempt.number
+                            + " of "
+                            + e.request.id()
+                            + " at "
+                            + attempt.server
+                            + ": "
+                            + result.outcome()
+                            + " after "
+                            + elapsedUs
+                            + " us");
         }
-        tell(e, () -> balancer.outcome(clock.nowUs(), e.request.id(), attempt.number, attempt.server,
-                result.outcome(), elapsedUs, ended, result.report()));
+        tell(
+                e,
+                () ->
+                        balancer.outcome(
+                                clock.nowUs(),
+                                e.request.id(),
+                                attempt.number,
+                                attempt.server,
+                                result.outcome(),
+                                elapsedUs,
+                                ended,
+                                result.report()));
         forget(e);
     }
 
     /**
-     * Tells the module of an event, after those before it. The module must not be called from within one of
-     * its actions, so what an action brings about at once waits here until the module has returned.
+     * Tells the module of an event, after those before it. The module must not be called from
+     * within one of its actions, so what an action brings about at once waits here until the module
+     * has returned.
      */
     private void tell(Exchange about, Runnable what) {
         events.add(new Event(about, what));
@@ -331,7 +411,8 @@
             try {
                 event.tell().run();
             } catch (RuntimeException | Error bug) {
-                // Whatever it was, the events behind it are still to be told, and so are all later ones.
+                // Whatever it was, the events behind it are still to be told, and so are all later
+                // ones.
                 log.bug("in the decision module", bug);
                 if (event.about() != null && !event.about().answered) {
                     answer(event.about(), Answer.failed());
@@ -350,14 +431,20 @@
         Exchange e = exchanges.get(id);
         InetSocketAddress backend = backends.address(server);
         if (e == null || backend == null) {
-            log.line("send of " + id + " to " + server + ": the request or the backend is not known");
+            log.line(
+                    "send of "
+                            + id
+                            + " to "
+                            + server
+                            + ": the request or the backend is not known");
             return;
         }
         Exchange.Attempt attempt = new Exchange.Attempt(e.attempts.size(), server, now);
         e.attempts.add(attempt);
         log.trace("attempt", id, server);
         RequestBody body = e.request.body();
-        // The time of one that is still coming runs once it has come; until then its progress is watched.
+        // The time of one that is still coming runs once it has come; until then its progress is
+        // watched.
         long leftUs = e.uploading ? LONGEST_UPLOAD_US : e.deadlineUs - now;
         long waitUs = timeoutUs == 0 || e.uploading ? leftUs : Math.min(timeoutUs, leftUs);
         if (e.answered || waitUs <= 0 || attempt.number >= maxAttempts || !body.canBeSent()) {
@@ -365,50 +452,66 @@
             return;
         }
         long untilUs = e.uploading ? now + e.request.budgetUs() : now + waitUs;
-        attempt.handle = pool.send(backend, new Outgoing(() -> message(e, untilUs),
-                body.isLong() ? body : null,
-                () -> !e.answered && isUp(server) && mayStillRepeat(e), waitUs, Outcome.TIMEOUT),
-                new BackendPool.Listener() {
-                    @Override
-                    public void written() {
-                        log.trace("written", e.request.id(), attempt.number);
-                        attempt.writtenAtUs = clock.nowUs();
-                        figures.backendCall();
-                        if (body.isLong()) {
-                            attempt.sentAtUs = clock.nowUs();
-                            tell(e, () -> balancer.bodyWritten(clock.nowUs(), e.request.id(),
-                                    attempt.number));
-                        }
-                    }
-
-                    @Override
-                    public void begun(AnswerStream answer) {
-                        answerBegun(e, attempt, answer);
-                    }
-
-                    @Override
-                    public void done(Result result) {
-                        attemptEnded(e, attempt, result);
-                    }
-                });
+        attempt.handle =
+                pool.send(
+                        backend,
+                        new Outgoing(
+                                () -> message(e, untilUs),
+                                body.isLong() ? body : null,
+                                () -> !e.answered && isUp(server) && mayStillRepeat(e),
+                                waitUs,
+                                Outcome.TIMEOUT),
+                        new BackendPool.Listener() {
+                            @Override
+                            public void written() {
+                                log.trace("written", e.request.id(), attempt.number);
+                                attempt.writtenAtUs = clock.nowUs();
+                                figures.backendCall();
+                                if (body.isLong()) {
+                                    attempt.sentAtUs = clock.nowUs();
+                                    tell(
+                                            e,
+                                            () ->
+                                                    balancer.bodyWritten(
+                                                            clock.nowUs(),
+                                                            e.request.id(),
+                                                            attempt.number));
+                                }
+                            }
+
+                            @Override
+                            public void begun(AnswerStream answer) {
+                                answerBegun(e, attempt, answer);
+                            }
+
+                            @Override
+                            public void done(Result result) {
+                                attemptEnded(e, attempt, result);
+                            }
+                        });
     }
 
     /**
-     * Guards against a connection that comes up late: one to a backend that was told to drain, or that has
-     * gone, in the meantime is sent nothing.
+     * Guards against a connection that comes up late: one to a backend that was told to drain, or
+     * that has gone, in the meantime is sent nothing.
      */
     private boolean isUp(String server) {
         return backends.isUp(server);
     }
 
     /**
-     * And so is a repeat by a key that its server would no longer drop: the module asked for it in time, but
-     * its connection may have come up after that.
+     * And so is a repeat by a key that its server would no longer drop: the module asked for it in
+     * time, but its connection may have come up after that.
      */
     private boolean mayStillRepeat(Exchange e) {
         RequestClass kind = classes.get(e.request.requestClass());
-        return kind.effect() != Effect.KEYED || e.attempts.stream().filter(Exchange.Attempt::mayHaveRun)
-                .allMatch(a -> clock.nowUs() - a.writtenAtUs < kind.dedupWindowUs() - ON_ITS_WAY_US);
+        return kind.effect() != Effect.KEYED
+                || e.attempts.stream()
+                        .filter(Exchange.Attempt::mayHaveRun)
+                        .allMatch(
+                                a ->
+                                        clock.nowUs() - a.writtenAtUs
+                                                < kind.dedupWindowUs() - ON_ITS_WAY_US);
     }
 
     private HttpRequest message(Exchange e, long untilUs) {
@@ -459,22 +562,40 @@
             return;
         }
         long sentAtUs = clock.nowUs();
-        pool.send(backend, new Outgoing(Messages::probe, null,
-                () -> isUp(server), PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> tell(null, () -> {
-                    long now = clock.nowUs();
-                    balancer.probeResult(now, server, result.outcome(), now - sentAtUs, report(result));
-                }));
+        pool.send(
+                backend,
+                new Outgoing(
+                        Messages::probe,
+                        null,
+                        () -> isUp(server),
+                        PROBE_TIMEOUT_US,
+                        Outcome.TIMEOUT),
+                result ->
+                        tell(
+                                null,
+                                () -> {
+                                    long now = clock.nowUs();
+                                    balancer.probeResult(
+                                            now,
+                                            server,
+                                            result.outcome(),
+                                            now - sentAtUs,
+                                            report(result));
+                                }));
     }
 
     private static LoadReport report(Result result) {
-        return result.report() != null || result.body() == null ? result.report()
+        return result.report() != null || result.body() == null
+                ? result.report()
                 : LoadText.parse(new String(result.body(), StandardCharsets.UTF_8));
     }
 
     @Override
     public void wakeAt(long atUs) {
-        loop.schedule(() -> tell(null, () -> balancer.timer(clock.nowUs())),
-                Math.max(0, atUs - clock.nowUs()), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> tell(null, () -> balancer.timer(clock.nowUs())),
+                Math.max(0, atUs - clock.nowUs()),
+                TimeUnit.MICROSECONDS);
     }
 
     @Override
@@ -497,9 +618,11 @@
     }
 
     private static Figures.Ending ending(Answer answer) {
-        return answer.status().equals(HttpResponseStatus.OK) ? Figures.Ending.SERVED
-                : answer.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? Figures.Ending.REFUSED
-                : Figures.Ending.FAILED;
+        return answer.status().equals(HttpResponseStatus.OK)
+                ? Figures.Ending.SERVED
+                : answer.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                        ? Figures.Ending.REFUSED
+                        : Figures.Ending.FAILED;
     }
 
     /** The final answer is settled, though it may still be on its way. */
@@ -522,7 +645,9 @@
         unanswered--;
     }
 
-    /** A request is remembered until its last attempt has ended, as the module is told of that too. */
+    /**
+     * A request is remembered until its last attempt has ended, as the module is told of that too.
+     */
     private void forget(Exchange e) {
         if (e.ended && e.attempts.stream().allMatch(a -> a.outcome != null)) {
             exchanges.remove(e.request.id(), e);
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -31,15 +31,22 @@
 public final class ProxyServer {
 
     private static final long SWEEP_MS = 250;
-    /** A second answer to one request comes some milliseconds after the first, where there is one. */
+
+    /**
+     * A second answer to one request comes some milliseconds after the first, where there is one.
+     */
     private static final long REST_US = 20_000;
+
     /**
-     * Where an older process serves, a new one takes its part of the new connections for this long before it
-     * says that it is ready: it is slow at first, and all of the traffic at once would pile up.
+     * Where an older process serves, a new one takes its part of the new connections for this long
+     * before it says that it is ready: it is slow at first, and all of the traffic at once would
+     * pile up.
      */
     private static final long WARM_UP_MS = 2_000;
+
     /** How often a process that is to end looks whether all is done. */
     private static final long DONE_CHECK_MS = 20;
+
     /** The part of the configured memory that bodies on their way may take: most is the JVM's. */
     private static final long BUDGET_PART = 36;
 
@@ -60,25 +67,37 @@
     private BackendPool pool;
     private ByteBudget budget;
     private Control control;
+
     /** Null where the platform keeps no folder for this proxy's processes. */
     private Succession succession;
+
     /** Not where the traffic of an older process would come all at once. */
     private boolean warm;
+
     private InetSocketAddress address;
+
     /** It could not listen, so there is nothing to end in an orderly way. */
     private volatile boolean failed;
 
     private ProxyServer(ProxyConfig config, EventLog log) {
         this.log = log;
         this.sockets = config.sockets();
-        this.group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("proxy"),
-                NioIoHandler.newFactory());
+        this.group =
+                new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("proxy"), NioIoHandler.newFactory());
         this.loop = group.next();
-        this.longestDeadlineMs = TimeUnit.MICROSECONDS.toMillis(config.settings().classes().stream()
-                .mapToLong(RequestClass::deadlineUs).max().orElseThrow());
+        this.longestDeadlineMs =
+                TimeUnit.MICROSECONDS.toMillis(
+                        config.settings().classes().stream()
+                                .mapToLong(RequestClass::deadlineUs)
+                                .max()
+                                .orElseThrow());
     }
 
-    /** Runs a proxy until the process gets SIGTERM; returns only where it cannot start, with the status. */
+    /**
+     * Runs a proxy until the process gets SIGTERM; returns only where it cannot start, with the
+     * status.
+     */
     public static int serve(Map<String, String> env, PrintStream err) throws InterruptedException {
         ProxyServer server;
         try {
@@ -97,8 +116,8 @@
     }
 
     /**
-     * The JVM ends as soon as its hooks have returned, with the status of the signal: so this one stays until
-     * all is answered, and then ends the process itself.
+     * The JVM ends as soon as its hooks have returned, with the status of the signal: so this one
+     * stays until all is answered, and then ends the process itself.
      */
     private void endInOrder() {
         if (failed) {
@@ -149,31 +168,53 @@
             succession = new Succession(config.folder(), log);
         }
         budget = new ByteBudget(config.memoryBytes() / BUDGET_PART);
-        pool = new BackendPool(loop, clock, log, budget, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), REST_US, descriptors);
+        pool =
+                new BackendPool(
+                        loop,
+                        clock,
+                        log,
+                        budget,
+                        config.connectTimeoutUs(),
+                        config.settings().limits().keepaliveUs(),
+                        REST_US,
+                        descriptors);
         HoldUps holdUps = new HoldUps(clock.nowUs());
         beat(clock, holdUps);
         proxy = new ProxyLoop(loop, clock, log, config, pool, holdUps, module);
-        clients = new ClientServer(loop, clock, log, new RequestParser(config.settings().classes(),
-                config.classes(), config.tenants()), proxy, budget,
-                descriptors, holdUps);
+        clients =
+                new ClientServer(
+                        loop,
+                        clock,
+                        log,
+                        new RequestParser(
+                                config.settings().classes(), config.classes(), config.tenants()),
+                        proxy,
+                        budget,
+                        descriptors,
+                        holdUps);
         control = new Control(loop, log, this::ready, proxy::figures);
         shareDescriptors();
         warm = !twoRun();
         if (!warm) {
-            loop.schedule(() -> {
-                warm = true;
-            }, WARM_UP_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        warm = true;
+                    },
+                    WARM_UP_MS,
+                    TimeUnit.MILLISECONDS);
         }
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Each beat is timed from the one before, so that a hold-up shows once. */
     private void beat(Clock clock, HoldUps holdUps) {
-        loop.schedule(() -> {
-            holdUps.beat(clock.nowUs());
-            beat(clock, holdUps);
-        }, HoldUps.BEAT_US, TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    holdUps.beat(clock.nowUs());
+                    beat(clock, holdUps);
+                },
+                HoldUps.BEAT_US,
+                TimeUnit.MICROSECONDS);
     }
 
     private void sweep() {
@@ -200,7 +241,10 @@
         return succession != null && succession.succeeded();
     }
 
-    /** The limit holds for all processes of this proxy together, and at a change of version there are two. */
+    /**
+     * The limit holds for all processes of this proxy together, and at a change of version there
+     * are two.
+     */
     private void shareDescriptors() {
         descriptors.limit(twoRun() ? sockets / 2 : sockets);
     }
@@ -212,14 +256,25 @@
     /** What is still held of requests and their connections; empty once nothing is out. */
     String leftOver() throws InterruptedException {
         StringBuilder text = new StringBuilder();
-        loop.submit(() -> {
-            Map<String, Long> held = new TreeMap<>(Map.of("requests", (long) proxy.held(),
-                    "requests unanswered", (long) proxy.unanswered(), "bytes", budget.held(),
-                    "connections from clients", (long) descriptors.clients(),
-                    "connections to backends in use", (long) descriptors.backends() - pool.idle()));
-            held.values().removeIf(n -> n == 0);
-            text.append(held.isEmpty() ? "" : held);
-        }).sync();
+        loop.submit(
+                        () -> {
+                            Map<String, Long> held =
+                                    new TreeMap<>(
+                                            Map.of(
+                                                    "requests",
+                                                    (long) proxy.held(),
+                                                    "requests unanswered",
+                                                    (long) proxy.unanswered(),
+                                                    "bytes",
+                                                    budget.held(),
+                                                    "connections from clients",
+                                                    (long) descriptors.clients(),
+                                                    "connections to backends in use",
+                                                    (long) descriptors.backends() - pool.idle()));
+                            held.values().removeIf(n -> n == 0);
+                            text.append(held.isEmpty() ? "" : held);
+                        })
+                .sync();
         return text.toString();
     }
 
@@ -234,32 +289,41 @@
     }
 
     /**
-     * Ends in an orderly way, and everything taken is answered. Where a newer process is ready, this one
-     * takes what waits at its listener and sends each client away with its answer. Else, and also where a
-     * newer one has come and is not ready, connections are accepted for a little longer, and those open are
-     * served until shortly before SIGKILL may come.
+     * Ends in an orderly way, and everything taken is answered. Where a newer process is ready,
+     * this one takes what waits at its listener and sends each client away with its answer. Else,
+     * and also where a newer one has come and is not ready, connections are accepted for a little
+     * longer, and those open are served until shortly before SIGKILL may come.
      */
     void shutDown() {
-        loop.execute(() -> {
-            boolean replaced = succession != null && succession.replaced();
-            log.line("shutting down" + (replaced ? ", a newer process serves" : ""));
-            EndPlan plan = EndPlan.of(longestDeadlineMs);
-            clients.unready();
-            proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(plan.answerMs()));
-            if (replaced) {
-                clients.stopListening();
-                clients.sendAway();
-            } else {
-                loop.schedule(clients::stopListening, plan.stopListeningMs(), TimeUnit.MILLISECONDS);
-            }
-            loop.schedule(() -> {
-                clients.sendAway();
-                endOnceDone();
-            }, plan.leaveMs(), TimeUnit.MILLISECONDS);
-        });
+        loop.execute(
+                () -> {
+                    boolean replaced = succession != null && succession.replaced();
+                    log.line("shutting down" + (replaced ? ", a newer process serves" : ""));
+                    EndPlan plan = EndPlan.of(longestDeadlineMs);
+                    clients.unready();
+                    proxy.answerWithin(TimeUnit.MILLISECONDS.toMicros(plan.answerMs()));
+                    if (replaced) {
+                        clients.stopListening();
+                        clients.sendAway();
+                    } else {
+                        loop.schedule(
+                                clients::stopListening,
+                                plan.stopListeningMs(),
+                                TimeUnit.MILLISECONDS);
+                    }
+                    loop.schedule(
+                            () -> {
+                                clients.sendAway();
+                                endOnceDone();
+                            },
+                            plan.leaveMs(),
+                            TimeUnit.MILLISECONDS);
+                });
     }
 
-    /** Ends when nothing is out any more; an answer that is long on its way may go on until SIGKILL. */
+    /**
+     * Ends when nothing is out any more; an answer that is long on its way may go on until SIGKILL.
+     */
     private void endOnceDone() {
         clients.endIdle();
         if (proxy.unanswered() == 0 && !clients.receiving() && !clients.ending()) {
@@ -270,9 +334,9 @@
     }
 
     /**
-     * Reads the configuration again; of what stands there only the address of discovery may change. One at a
-     * time: each SIGHUP comes on a thread of its own, and one that has read the file before it changed must
-     * not have its say after one that read it later.
+     * Reads the configuration again; of what stands there only the address of discovery may change.
+     * One at a time: each SIGHUP comes on a thread of its own, and one that has read the file
+     * before it changed must not have its say after one that read it later.
      */
     synchronized void reload(Map<String, String> env) {
         InetSocketAddress discovery;
@@ -288,7 +352,7 @@
 
     /** Waits until its loop has done all that it was given so far. */
     void awaitIdle() throws InterruptedException {
-        loop.submit(() -> { }).sync();
+        loop.submit(() -> {}).sync();
     }
 
     /** Waits until it has shut down. */
@@ -306,6 +370,7 @@
     private void end() {
         log.line("ending with " + proxy.unanswered() + " requests unanswered");
         proxy.stop();
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+                .addListener(done -> ended.countDown());
     }
 }
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -21,19 +21,20 @@
 import passhatch.proxy.flow.RequestBody;
 
 /**
- * A proxy that serves a few requests of its own on loopback and ends. The build runs it so that the JVM can
- * archive the classes that serving takes: with half a core, most of a start is spent on reading those.
+ * A proxy that serves a few requests of its own on loopback and ends. The build runs it so that the
+ * JVM can archive the classes that serving takes: with half a core, most of a start is spent on
+ * reading those.
  */
 public final class Rehearsal {
 
     private static final String LONG_BODY = "x".repeat(100_000);
     private static final int PATIENCE_MS = 10_000;
 
-    private Rehearsal() { }
+    private Rehearsal() {}
 
     /**
-     * Plays it through; the build goes on without the archive, which only makes a start quicker, so it says
-     * 0.
+     * Plays it through; the build goes on without the archive, which only makes a start quicker, so
+     * it says 0.
      */
     public static int runOrSay(PrintStream err) {
         try {
@@ -47,12 +48,25 @@
     static void run(PrintStream err) throws Exception {
         Path config = Files.createTempFile("rehearsal", ".json");
         try (ServerSocket backend = serve(Rehearsal::answerAsBackend);
-                ServerSocket discovery = serve((in, out) -> answerAsDiscovery(in, out, address(backend)))) {
+                ServerSocket discovery =
+                        serve((in, out) -> answerAsDiscovery(in, out, address(backend)))) {
             Files.writeString(config, JSON.std.asString(config()));
-            ProxyServer proxy = ProxyServer.start(ProxyConfig.read(Map.of("PROXY_NAME", "rehearsal",
-                    "PROXY_LISTEN", "127.0.0.1:0", "PROXY_CONTROL", "127.0.0.1:0",
-                    "PROXY_DISCOVERY", address(discovery), "PROXY_CONFIG", config.toString())),
-                    new EventLog(err), Logic::new);
+            ProxyServer proxy =
+                    ProxyServer.start(
+                            ProxyConfig.read(
+                                    Map.of(
+                                            "PROXY_NAME",
+                                            "rehearsal",
+                                            "PROXY_LISTEN",
+                                            "127.0.0.1:0",
+                                            "PROXY_CONTROL",
+                                            "127.0.0.1:0",
+                                            "PROXY_DISCOVERY",
+                                            address(discovery),
+                                            "PROXY_CONFIG",
+                                            config.toString())),
+                            new EventLog(err),
+                            Logic::new);
             try {
                 play(proxy);
             } finally {
@@ -72,21 +86,34 @@
             }
             Thread.sleep(10);
         }
-        String head = " HTTP/1.1\r\nHost: p\r\nConnection: close\r\nX-Deadline: 9000m\r\nX-Request-Id: ";
+        String head =
+                " HTTP/1.1\r\nHost: p\r\nConnection: close\r\nX-Deadline: 9000m\r\nX-Request-Id: ";
         expect(proxy, "GET /look" + head + "a\r\n\r\n", "200");
-        expect(proxy, "POST /buy" + head + "b\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi", "200");
-        expect(proxy, "POST /buy" + head + "c\r\nIdempotency-Key: k\r\nContent-Length: " + LONG_BODY.length()
-                + "\r\n\r\n" + LONG_BODY, "200");
+        expect(
+                proxy,
+                "POST /buy" + head + "b\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi",
+                "200");
+        expect(
+                proxy,
+                "POST /buy"
+                        + head
+                        + "c\r\nIdempotency-Key: k\r\nContent-Length: "
+                        + LONG_BODY.length()
+                        + "\r\n\r\n"
+                        + LONG_BODY,
+                "200");
         expect(proxy, "GET /nowhere" + head + "d\r\n\r\n", "404");
         if (!ask(proxy.controlAddress(), "vars\n").endsWith("end\n")) {
             throw new IOException("no figures");
         }
     }
 
-    private static void expect(ProxyServer proxy, String request, String status) throws IOException {
+    private static void expect(ProxyServer proxy, String request, String status)
+            throws IOException {
         String answer = ask(proxy.address(), request);
         if (!answer.startsWith("HTTP/1.1 " + status)) {
-            throw new IOException("not " + status + ": " + answer.lines().findFirst().orElse("nothing"));
+            throw new IOException(
+                    "not " + status + ": " + answer.lines().findFirst().orElse("nothing"));
         }
     }
 
@@ -111,27 +138,36 @@
 
     private static ServerSocket serve(Script script) throws IOException {
         ServerSocket server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                daemon(() -> {
-                    script.answer(new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                            StandardCharsets.US_ASCII)), socket.getOutputStream());
-                    return null;
+        daemon(
+                () -> {
+                    while (true) {
+                        Socket socket = server.accept();
+                        daemon(
+                                () -> {
+                                    script.answer(
+                                            new BufferedReader(
+                                                    new InputStreamReader(
+                                                            socket.getInputStream(),
+                                                            StandardCharsets.US_ASCII)),
+                                            socket.getOutputStream());
+                                    return null;
+                                });
+                    }
                 });
-            }
-        });
         return server;
     }
 
     private static void daemon(Callable<Void> body) {
-        Thread thread = new Thread(() -> {
-            try {
-                body.call();
-            } catch (Exception over) {
-                // The rehearsal has ended and closed its sockets, or fails where it asks.
-            }
-        });
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                body.call();
+                            } catch (Exception over) {
+                                // The rehearsal has ended and closed its sockets, or fails where it
+                                // asks.
+                            }
+                        });
         thread.setDaemon(true);
         thread.start();
     }
@@ -144,8 +180,9 @@
                 in.read();
             }
             String body = length > RequestBody.MOST_KEPT ? LONG_BODY : "hi";
-            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                    .getBytes(StandardCharsets.US_ASCII));
+            out.write(
+                    ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.US_ASCII));
             length = readHead(in);
         }
     }
@@ -153,12 +190,40 @@
     private static void answerAsDiscovery(BufferedReader in, OutputStream out, String backend)
             throws IOException {
         readHead(in);
-        String list = JSON.std.asString(Map.of("index", 1, "snapshot", true, "endpoints", List.of(
-                Map.of("name", "s", "address", backend, "zone", "a", "type", "m", "group", 0,
-                        "status", "SERVING", "weight", 1.0, "since_ms", 0)))) + "\n";
-        out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n")
-                .getBytes(StandardCharsets.US_ASCII));
+        String list =
+                JSON.std.asString(
+                                Map.of(
+                                        "index",
+                                        1,
+                                        "snapshot",
+                                        true,
+                                        "endpoints",
+                                        List.of(
+                                                Map.of(
+                                                        "name",
+                                                        "s",
+                                                        "address",
+                                                        backend,
+                                                        "zone",
+                                                        "a",
+                                                        "type",
+                                                        "m",
+                                                        "group",
+                                                        0,
+                                                        "status",
+                                                        "SERVING",
+                                                        "weight",
+                                                        1.0,
+                                                        "since_ms",
+                                                        0))))
+                        + "\n";
+        out.write(
+                ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(list.length())
+                                + "\r\n"
+                                + list
+                                + "\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
         in.read();
     }
 
@@ -175,16 +240,64 @@
     }
 
     private static Map<String, Object> config() {
-        return Map.of("seed", "1", "settings", Map.of("categories", List.of(kind("look", "pure"),
-                kind("buy", "token")), "dcs", List.of("a"), "machineTypes", List.of("m"), "balancers", 1,
-                "discovery", "on_request", "limits", Map.of("maxAttempts", 3, "cancel", true, "probes", false,
-                        "retryAfter", true, "keepaliveUs", 10_000_000),
-                "rules", Map.of("drainGraceUs", 1_000_000, "coldFrom", 0.4, "coldUs", 1_000_000,
-                        "tipMultiple", 2.5, "overloadForUs", 1_000_000, "askEveryUs", 6_000_000)));
+        return Map.of(
+                "seed",
+                "1",
+                "settings",
+                Map.of(
+                        "categories",
+                        List.of(kind("look", "pure"), kind("buy", "token")),
+                        "dcs",
+                        List.of("a"),
+                        "machineTypes",
+                        List.of("m"),
+                        "balancers",
+                        1,
+                        "discovery",
+                        "on_request",
+                        "limits",
+                        Map.of(
+                                "maxAttempts",
+                                3,
+                                "cancel",
+                                true,
+                                "probes",
+                                false,
+                                "retryAfter",
+                                true,
+                                "keepaliveUs",
+                                10_000_000),
+                        "rules",
+                        Map.of(
+                                "drainGraceUs",
+                                1_000_000,
+                                "coldFrom",
+                                0.4,
+                                "coldUs",
+                                1_000_000,
+                                "tipMultiple",
+                                2.5,
+                                "overloadForUs",
+                                1_000_000,
+                                "askEveryUs",
+                                6_000_000)));
     }
 
     private static Map<String, Object> kind(String name, String effect) {
-        return Map.of("name", name, "effect", effect, "goalTimeUs", 5_000_000, "deadlineUs", 9_000_000,
-                "worth", 1, "dedupWindowUs", 6_000_000, "group", "all");
+        return Map.of(
+                "name",
+                name,
+                "effect",
+                effect,
+                "goalTimeUs",
+                5_000_000,
+                "deadlineUs",
+                9_000_000,
+                "worth",
+                1,
+                "dedupWindowUs",
+                6_000_000,
+                "group",
+                "all");
     }
 }
--- a/src/main/java/passhatch/proxy/Succession.java
+++ b/src/main/java/passhatch/proxy/Succession.java
@@ -7,8 +7,9 @@
 import passhatch.proxy.base.EventLog;
 
 /**
- * Which processes of this proxy run: at a change of version the new one starts beside the old, and both share
- * one folder. The newest leaves its number there, and again once it has said that it is ready.
+ * Which processes of this proxy run: at a change of version the new one starts beside the old, and
+ * both share one folder. The newest leaves its number there, and again once it has said that it is
+ * ready.
  */
 final class Succession {
 
@@ -59,7 +60,9 @@
         return named(file).isPresent();
     }
 
-    /** Whether the newer process has said that it is ready, so that this one may leave all to it. */
+    /**
+     * Whether the newer process has said that it is ready, so that this one may leave all to it.
+     */
     boolean replaced() {
         Optional<ProcessHandle> newer = named(file);
         return newer.isPresent() && newer.equals(named(readyFile));
@@ -73,7 +76,9 @@
     private Optional<ProcessHandle> named(Path in) {
         try {
             long pid = Long.parseLong(Files.readString(in).strip());
-            return pid == own ? Optional.empty() : ProcessHandle.of(pid).filter(ProcessHandle::isAlive);
+            return pid == own
+                    ? Optional.empty()
+                    : ProcessHandle.of(pid).filter(ProcessHandle::isAlive);
         } catch (IOException | NumberFormatException none) {
             return Optional.empty();
         }
--- a/src/main/java/passhatch/proxy/backend/AnswerDecoder.java
+++ b/src/main/java/passhatch/proxy/backend/AnswerDecoder.java
@@ -7,10 +7,11 @@
 import java.util.List;
 
 /**
- * Reads a backend's answers and tells where they are no proper HTTP though Netty's decoder lets them pass: a
- * header line without a colon is taken for a header without a value there, bytes after the end of an answer
- * are taken for the start of the next, and any end of the connection, a reset too, for the end of an answer
- * without a length. The channel has to allow half-closure, as that tells its peer's own end from all others.
+ * Reads a backend's answers and tells where they are no proper HTTP though Netty's decoder lets
+ * them pass: a header line without a colon is taken for a header without a value there, bytes after
+ * the end of an answer are taken for the start of the next, and any end of the connection, a reset
+ * too, for the end of an answer without a length. The channel has to allow half-closure, as that
+ * tells its peer's own end from all others.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -55,7 +56,8 @@
 
     /** What the connection's end makes whole: nothing, unless the peer has ended it. */
     @Override
-    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+            throws Exception {
         if (peerEnded) {
             super.decodeLast(ctx, in, out);
         }
--- a/src/main/java/passhatch/proxy/backend/BackendChannel.java
+++ b/src/main/java/passhatch/proxy/backend/BackendChannel.java
@@ -10,10 +10,10 @@
     private final ByteBuffer one = ByteBuffer.allocate(1);
 
     /**
-     * Whether nothing has come since all was read, not even the peer's end. The loop hears of what has come
-     * only in its next turn: a request that is written in this one would meet a closed connection, or find
-     * its answer behind bytes that are no part of it. Where something has come the connection is of no more
-     * use.
+     * Whether nothing has come since all was read, not even the peer's end. The loop hears of what
+     * has come only in its next turn: a request that is written in this one would meet a closed
+     * connection, or find its answer behind bytes that are no part of it. Where something has come
+     * the connection is of no more use.
      */
     boolean quiet() {
         try {
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -43,26 +43,33 @@
 import passhatch.proxy.flow.RequestBody;
 
 /**
- * The connections to the backends. A connection carries one request at a time and is kept for the next.
- * Nothing is ever sent a second time from here, not on a stale connection either: whether to repeat is the
- * module's to decide.
+ * The connections to the backends. A connection carries one request at a time and is kept for the
+ * next. Nothing is ever sent a second time from here, not on a stale connection either: whether to
+ * repeat is the module's to decide.
  */
 public final class BackendPool {
 
     /** Idle connections kept to one backend: more only fill its table. */
     private static final int MOST_IDLE = 8;
-    /** Part of the backends' idle time after which a connection is closed, before they may close it. */
+
+    /**
+     * Part of the backends' idle time after which a connection is closed, before they may close it.
+     */
     private static final double IDLE_PART = 0.7;
+
     /** An answer of up to this size is held until it is whole; a longer one goes on as it comes. */
     private static final int MOST_HELD = 1 << 16;
+
     /**
-     * So does one that may become longer and is not whole by then. Until then it may still break and be asked
-     * for elsewhere, as spoilt answers often tell a length that is not theirs.
+     * So does one that may become longer and is not whole by then. Until then it may still break
+     * and be asked for elsewhere, as spoilt answers often tell a length that is not theirs.
      */
     private static final long HOLD_MS = 200;
+
     /**
-     * An answer that goes on as it comes, and of which nothing has come for so long though it was read from,
-     * never ends: it is broken off, so that its client sees it. Slow peers pause for a second or two.
+     * An answer that goes on as it comes, and of which nothing has come for so long though it was
+     * read from, never ends: it is broken off, so that its client sees it. Slow peers pause for a
+     * second or two.
      */
     private static final long STALL_MS = 5_000;
 
@@ -83,10 +90,10 @@
     /** Hears of a call. */
     public interface Listener {
         /** The message was written whole. */
-        default void written() { }
+        default void written() {}
 
         /** An answer begins that goes on as it comes; from now on the time-out is off. */
-        default void begun(AnswerStream answer) { }
+        default void begun(AnswerStream answer) {}
 
         /** It has ended, once. */
         void done(Result result);
@@ -109,8 +116,12 @@
      * @param wanted asked just before it is written: false where it must not be sent any more
      * @param timeout how it ends when its time is up after it was written
      */
-    public record Outgoing(Supplier<HttpRequest> message, RequestBody body, BooleanSupplier wanted,
-            long timeoutUs, Outcome timeout) { }
+    public record Outgoing(
+            Supplier<HttpRequest> message,
+            RequestBody body,
+            BooleanSupplier wanted,
+            long timeoutUs,
+            Outcome timeout) {}
 
     private final EventLoop loop;
     private final Clock clock;
@@ -118,8 +129,12 @@
     private final ByteBudget budget;
     private final long idleUs;
     private final long restUs;
-    /** Until then connections rest: it would cost more of them where no backend does such a thing. */
+
+    /**
+     * Until then connections rest: it would cost more of them where no backend does such a thing.
+     */
     private long strayUntilUs = Long.MIN_VALUE;
+
     private final Descriptors descriptors;
     private final Bootstrap bootstrap;
     private final Map<InetSocketAddress, Deque<Connection>> idle = new HashMap<>();
@@ -129,13 +144,20 @@
      *
      * @param budget of the bytes that it passes on
      * @param keepaliveUs after which backends close idle connections; 0 where none may be kept
-     * @param restUs how long a connection rests after an answer before it is used again while backends send
-     *     what nothing asked for, in microseconds: a second answer to the same request may follow some
-     *     milliseconds later, and would pass for the answer to the next
+     * @param restUs how long a connection rests after an answer before it is used again while
+     *     backends send what nothing asked for, in microseconds: a second answer to the same
+     *     request may follow some milliseconds later, and would pass for the answer to the next
      * @param descriptors shared with the callers' side
      */
-    public BackendPool(EventLoop loop, Clock clock, EventLog log, ByteBudget budget, long connectTimeoutUs,
-            long keepaliveUs, long restUs, Descriptors descriptors) {
+    public BackendPool(
+            EventLoop loop,
+            Clock clock,
+            EventLog log,
+            ByteBudget budget,
+            long connectTimeoutUs,
+            long keepaliveUs,
+            long restUs,
+            Descriptors descriptors) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -143,13 +165,20 @@
         this.idleUs = (long) (keepaliveUs * IDLE_PART);
         this.restUs = restUs;
         this.descriptors = descriptors;
-        this.bootstrap = new Bootstrap().group(loop).channelFactory(BackendChannel::new)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
+        this.bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channelFactory(BackendChannel::new)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
+                        .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int)
+                                        Math.max(
+                                                1,
+                                                TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
 
     /** Closes connections that backends might soon close themselves; to be called now and then. */
@@ -184,7 +213,12 @@
             closeLongestIdle();
         }
         if (kept == null && descriptors.backendsFull()) {
-            log.line("no connection left for " + address + ": " + descriptors.backends() + " are open");
+            log.line(
+                    "no connection left for "
+                            + address
+                            + ": "
+                            + descriptors.backends()
+                            + " are open");
             loop.execute(() -> call.end(Result.without(Outcome.NOT_SENT)));
             return call;
         }
@@ -205,7 +239,7 @@
         if (at == null) {
             return null;
         }
-        for (Iterator<Connection> each = at.iterator(); each.hasNext();) {
+        for (Iterator<Connection> each = at.iterator(); each.hasNext(); ) {
             Connection c = each.next();
             if (c.restsUntilUs <= now || strayUntilUs <= now) {
                 each.remove();
@@ -225,8 +259,11 @@
 
     /** Makes room for one to another backend. */
     private void closeLongestIdle() {
-        idle.values().stream().filter(at -> !at.isEmpty()).map(Deque::peekLast)
-                .min(Comparator.comparingLong(c -> c.idleSinceUs)).ifPresent(c -> c.channel.close());
+        idle.values().stream()
+                .filter(at -> !at.isEmpty())
+                .map(Deque::peekLast)
+                .min(Comparator.comparingLong(c -> c.idleSinceUs))
+                .ifPresent(c -> c.channel.close());
     }
 
     private void connect(InetSocketAddress address, Call call) {
@@ -234,21 +271,30 @@
         c.call = call;
         call.connection = c;
         descriptors.backend(1);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
-            }
-        }).connect(address);
+        ChannelFuture connecting =
+                bootstrap
+                        .clone()
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(c.decoder, new HttpRequestEncoder(), c);
+                                    }
+                                })
+                        .connect(address);
         c.channel = (BackendChannel) connecting.channel();
         // Runs in a later step of the loop even where the connection fails at once.
-        connecting.addListener(done -> loop.execute(() -> {
-            if (done.isSuccess()) {
-                c.write(call);
-            } else {
-                c.broken();
-            }
-        }));
+        connecting.addListener(
+                done ->
+                        loop.execute(
+                                () -> {
+                                    if (done.isSuccess()) {
+                                        c.write(call);
+                                    } else {
+                                        c.broken();
+                                    }
+                                }));
         c.channel.closeFuture().addListener(closed -> descriptors.backend(-1));
     }
 
@@ -258,8 +304,10 @@
         private final Listener listener;
         Connection connection;
         Future<?> timeout;
+
         /** All of the message has been handed to the network: from now on it may run. */
         boolean written;
+
         boolean ended;
 
         Call(Outgoing outgoing, Listener listener) {
@@ -332,8 +380,10 @@
         Call call;
         long idleSinceUs;
         long restsUntilUs;
+
         /** The answer to the call, until all that came with it has been read. */
         private Incoming answer;
+
         /** What comes now belongs to an interim answer. */
         private boolean interim;
 
@@ -354,13 +404,15 @@
             } else {
                 decoder.expectAnswer();
                 RequestBody body = toWrite.outgoing.body();
-                channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        channel.close();
-                    } else if (body == null) {
-                        toWrite.out();
-                    }
-                });
+                channel.writeAndFlush(toWrite.outgoing.message().get())
+                        .addListener(
+                                done -> {
+                                    if (!done.isSuccess()) {
+                                        channel.close();
+                                    } else if (body == null) {
+                                        toWrite.out();
+                                    }
+                                });
                 if (body != null) {
                     body.sendTo(channel, new BodyOut(toWrite));
                 }
@@ -427,8 +479,8 @@
         }
 
         /**
-         * The answer counts, and its connection may serve again, only when all that has arrived is read: what
-         * came after its end would pass for the answer to the next request.
+         * The answer counts, and its connection may serve again, only when all that has arrived is
+         * read: what came after its end would pass for the answer to the next request.
          */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -442,7 +494,8 @@
                 if (surplus || !given.single) {
                     strayed(address, "more than an answer");
                 }
-                boolean again = given.keepAlive() && answered.written && !surplus && !decoder.peerEnded();
+                boolean again =
+                        given.keepAlive() && answered.written && !surplus && !decoder.peerEnded();
                 call = null;
                 answer = null;
                 if (again) {
@@ -466,7 +519,10 @@
             }
         }
 
-        /** The peer has ended its sending: what it answered was read before this, and nothing more comes. */
+        /**
+         * The peer has ended its sending: what it answered was read before this, and nothing more
+         * comes.
+         */
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof ChannelInputShutdownEvent) {
@@ -512,8 +568,10 @@
         private final HeldBytes held = new HeldBytes(budget);
         private final Future<?> hold;
         private Future<?> stall;
+
         /** It is read from, and something has come since the last look. */
         private boolean moved;
+
         private Relay relay;
         private long size;
         private boolean begun;
@@ -526,16 +584,20 @@
             this.call = call;
             this.head = head;
             this.length = HttpUtil.getContentLength(head, -1L);
-            this.malformed = head.decoderResult().isFailure() || connection.decoder.malformed()
-                    || length > RequestBody.MOST;
+            this.malformed =
+                    head.decoderResult().isFailure()
+                            || connection.decoder.malformed()
+                            || length > RequestBody.MOST;
             boolean mayBeLong = length < 0 || length > MOST_HELD;
-            this.hold = mayBeLong && head.status().equals(HttpResponseStatus.OK)
-                    ? loop.schedule(this::begin, HOLD_MS, TimeUnit.MILLISECONDS) : null;
+            this.hold =
+                    mayBeLong && head.status().equals(HttpResponseStatus.OK)
+                            ? loop.schedule(this::begin, HOLD_MS, TimeUnit.MILLISECONDS)
+                            : null;
         }
 
         /**
-         * A second answer to one request is dropped with its connection; one that is no HTTP may be what is
-         * left of a body that was longer than its head said.
+         * A second answer to one request is dropped with its connection; one that is no HTTP may be
+         * what is left of a body that was longer than its head said.
          */
         void second(HttpResponse next) {
             single = false;
@@ -577,7 +639,10 @@
             }
         }
 
-        /** Has it go on now if it is known to be long: of such the first bytes are timed, not the last. */
+        /**
+         * Has it go on now if it is known to be long: of such the first bytes are timed, not the
+         * last.
+         */
         boolean goesOn() {
             if (length > MOST_HELD) {
                 begin();
@@ -587,15 +652,22 @@
 
         /** Of one that is not read from, as its client is slow, nothing can come. */
         private void watchStall() {
-            stall = loop.schedule(() -> {
-                if (moved || !connection.channel.config().isAutoRead()) {
-                    moved = false;
-                    watchStall();
-                } else {
-                    log.line("an answer from " + connection.address + " does not end");
-                    connection.channel.close();
-                }
-            }, STALL_MS, TimeUnit.MILLISECONDS);
+            stall =
+                    loop.schedule(
+                            () -> {
+                                if (moved || !connection.channel.config().isAutoRead()) {
+                                    moved = false;
+                                    watchStall();
+                                } else {
+                                    log.line(
+                                            "an answer from "
+                                                    + connection.address
+                                                    + " does not end");
+                                    connection.channel.close();
+                                }
+                            },
+                            STALL_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -606,11 +678,17 @@
         @Override
         public void sendTo(Channel client, Relay.Listener listener) {
             // Once it is whole its connection may serve another call.
-            relay = new Relay(loop, budget, on -> {
-                if (!whole) {
-                    connection.channel.config().setAutoRead(on);
-                }
-            }, client, listener);
+            relay =
+                    new Relay(
+                            loop,
+                            budget,
+                            on -> {
+                                if (!whole) {
+                                    connection.channel.config().setAutoRead(on);
+                                }
+                            },
+                            client,
+                            listener);
             relay.pass(Unpooled.wrappedBuffer(held.take()));
             if (whole && relay != null) {
                 relay.finish();
@@ -667,9 +745,10 @@
             return new Result(Outcome.OK, body, report);
         }
         // Without the header a 503 or 504 may come from a tier behind, after the request ran.
-        boolean turnedAway = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-                && "1".equals(response.headers().get("X-Not-Run"));
+        boolean turnedAway =
+                (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
+                        && "1".equals(response.headers().get("X-Not-Run"));
         return new Result(turnedAway ? Outcome.FULL : Outcome.ERROR, null, report);
     }
 }
--- a/src/main/java/passhatch/proxy/backend/LoadText.java
+++ b/src/main/java/passhatch/proxy/backend/LoadText.java
@@ -9,7 +9,7 @@
 
     private static final Pattern FIGURE = Pattern.compile("([a-z_0-9]+)=([0-9.eE+-]+)");
 
-    private LoadText() { }
+    private LoadText() {}
 
     /** The report, or null where the text holds none. */
     public static LoadReport parse(String text) {
@@ -33,7 +33,7 @@
                 case "inflight" -> inFlight = value;
                 case "queue" -> queue = value;
                 case "util" -> utilisation = value;
-                default -> { }
+                default -> {}
             }
         }
         return any ? new LoadReport(inFlight, queue, utilisation) : null;
--- a/src/main/java/passhatch/proxy/base/Addresses.java
+++ b/src/main/java/passhatch/proxy/base/Addresses.java
@@ -8,18 +8,21 @@
 /** Reads addresses. */
 public final class Addresses {
 
-    private Addresses() { }
+    private Addresses() {}
 
     /** The address of a text like 10.0.0.4:5000; names are not looked up, as there is no DNS. */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        byte[] ip =
+                colon < 0
+                        ? null
+                        : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         if (ip == null) {
             throw new IllegalArgumentException("'" + text + "' is not an address and a port");
         }
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(ip),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
         } catch (IOException | IllegalArgumentException bad) {
             throw new IllegalArgumentException("'" + text + "' is not an address and a port", bad);
         }
--- a/src/main/java/passhatch/proxy/base/Clock.java
+++ b/src/main/java/passhatch/proxy/base/Clock.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The module's clock: microseconds that start at the Unix time of this process's start and then follow the
- * monotonic clock. Unix times of discovery can be compared with it as they are, and a step of the wall clock
- * neither moves it back nor makes a known start time look like a new one.
+ * The module's clock: microseconds that start at the Unix time of this process's start and then
+ * follow the monotonic clock. Unix times of discovery can be compared with it as they are, and a
+ * step of the wall clock neither moves it back nor makes a known start time look like a new one.
  */
 public final class Clock {
 
--- a/src/main/java/passhatch/proxy/base/Descriptors.java
+++ b/src/main/java/passhatch/proxy/base/Descriptors.java
@@ -1,16 +1,18 @@
 package passhatch.proxy.base;
 
 /**
- * How the descriptors of this process are shared out between clients and backends. Connections to backends
- * are only as many as requests that are out and some that idle; all others are the clients', as thousands may
- * come and only a part of them ever sends a request.
+ * How the descriptors of this process are shared out between clients and backends. Connections to
+ * backends are only as many as requests that are out and some that idle; all others are the
+ * clients', as thousands may come and only a part of them ever sends a request.
  */
 public final class Descriptors {
 
     /** For the JVM's own files, the selector, the listeners and discovery. */
     private static final int OWN = 24;
+
     /** The part for connections to backends: requests take a third at most, and some idle. */
     private static final double BACKEND_PART = 0.375;
+
     /** Above this part of its connections a crowd is about. */
     private static final double CROWDED_PART = 0.75;
 
--- a/src/main/java/passhatch/proxy/base/EventLog.java
+++ b/src/main/java/passhatch/proxy/base/EventLog.java
@@ -4,8 +4,8 @@
 import java.time.Instant;
 
 /**
- * The proxy's log: one line per abnormal event, and with {@code -Dpasshatch.trace=true} one per step of each
- * request.
+ * The proxy's log: one line per abnormal event, and with {@code -Dpasshatch.trace=true} one per
+ * step of each request.
  */
 public final class EventLog {
 
--- a/src/main/java/passhatch/proxy/base/HangUp.java
+++ b/src/main/java/passhatch/proxy/base/HangUp.java
@@ -3,24 +3,27 @@
 import java.lang.reflect.Proxy;
 
 /**
- * SIGHUP. Java offers no supported way to it, and without a handler the JVM ends at the signal. The class
- * sun.misc.Signal, of the module jdk.unsupported, is reached by reflection, as a plain use of it is a warning
- * that nothing silences.
+ * SIGHUP. Java offers no supported way to it, and without a handler the JVM ends at the signal. The
+ * class sun.misc.Signal, of the module jdk.unsupported, is reached by reflection, as a plain use of
+ * it is a warning that nothing silences.
  */
 public final class HangUp {
 
-    private HangUp() { }
+    private HangUp() {}
 
     /** Has this run, on a thread of the JVM's, at every SIGHUP from now on. */
     public static void handle(Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object handling = Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler},
-                    (self, method, args) -> {
-                        then.run();
-                        return null;
-                    });
+            Object handling =
+                    Proxy.newProxyInstance(
+                            handler.getClassLoader(),
+                            new Class<?>[] {handler},
+                            (self, method, args) -> {
+                                then.run();
+                                return null;
+                            });
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handling);
         } catch (ReflectiveOperationException e) {
--- a/src/main/java/passhatch/proxy/base/LingeringClose.java
+++ b/src/main/java/passhatch/proxy/base/LingeringClose.java
@@ -10,25 +10,27 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Ends a connection so that what was written on it arrives. To close a socket in which bytes stand unread
- * resets the connection, and a reset may overtake the last answer (RFC 9112, 9.6). So the sending is ended
- * first, what still comes is read and dropped, and the socket is closed once the peer has ended too, or after
- * a bounded time. Nothing that comes meanwhile counts as read: its sender sees that it was not taken.
+ * Ends a connection so that what was written on it arrives. To close a socket in which bytes stand
+ * unread resets the connection, and a reset may overtake the last answer (RFC 9112, 9.6). So the
+ * sending is ended first, what still comes is read and dropped, and the socket is closed once the
+ * peer has ended too, or after a bounded time. Nothing that comes meanwhile counts as read: its
+ * sender sees that it was not taken.
  */
 public final class LingeringClose extends ChannelInboundHandlerAdapter {
 
     /** A peer that is still there has seen the end by then, over any distance. */
     private static final long MOST_MS = 500;
+
     /** More than this is not read from a peer that goes on sending. */
     private static final long MOST_BYTES = 1 << 20;
 
     private long bytes;
 
-    private LingeringClose() { }
+    private LingeringClose() {}
 
     /**
-     * Begins to end a connection, at once where its peer has ended it already. All that is to arrive must
-     * have been written. Nothing that comes from now on gets to the other handlers.
+     * Begins to end a connection, at once where its peer has ended it already. All that is to
+     * arrive must have been written. Nothing that comes from now on gets to the other handlers.
      */
     public static void begin(Channel channel) {
         if (!channel.isActive() || ((DuplexChannel) channel).isInputShutdown()) {
@@ -37,9 +39,14 @@
             channel.pipeline().addFirst(new LingeringClose());
             channel.config().setAutoRead(true);
             ((DuplexChannel) channel).shutdownOutput();
-            var patience = channel.eventLoop().schedule(() -> {
-                channel.close();
-            }, MOST_MS, TimeUnit.MILLISECONDS);
+            var patience =
+                    channel.eventLoop()
+                            .schedule(
+                                    () -> {
+                                        channel.close();
+                                    },
+                                    MOST_MS,
+                                    TimeUnit.MILLISECONDS);
             channel.closeFuture().addListener(closed -> patience.cancel(false));
         }
     }
--- a/src/main/java/passhatch/proxy/client/Answer.java
+++ b/src/main/java/passhatch/proxy/client/Answer.java
@@ -18,8 +18,10 @@
 
     /** Promises that trying again is harmless. */
     public static Answer refused(long retryAfterUs) {
-        String seconds = retryAfterUs <= 0 ? null
-                : BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString();
+        String seconds =
+                retryAfterUs <= 0
+                        ? null
+                        : BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros().toPlainString();
         return new Answer(HttpResponseStatus.SERVICE_UNAVAILABLE, seconds, NO_BODY);
     }
 
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -35,13 +35,16 @@
 
     /** Requests of one connection that may be unanswered before no more are taken from it. */
     private static final int MOST_PIPELINED = 4;
+
     /**
-     * A peer that connects, or begins a request, and has sent no head by then is let go: it may take 2 s for
-     * that (operators' days), and is owed a close within 3 s (terms).
+     * A peer that connects, or begins a request, and has sent no head by then is let go: it may
+     * take 2 s for that (operators' days), and is owed a close within 3 s (terms).
      */
     private static final long HEAD_WITHIN_US = 2_500_000;
+
     /** A body may stand still for this long, beside the time that its bytes take at the slowest. */
     private static final long BODY_PAUSE_US = 1_500_000;
+
     /** Half of the 64 kB a second that clients send at the slowest (operators' days), in pieces. */
     private static final double BODY_BYTES_PER_US = 0.032;
 
@@ -50,22 +53,33 @@
     private final EventLoop loop;
     private final ReadAhead reads;
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
+
     /** The request that is coming in now, from its head to its end. */
     private Turn receiving;
+
     /** Where the body that is coming in goes to is full: nothing more of it is wanted. */
     private boolean bodyWaits;
+
     /** Ends the connection unless a whole request comes first; null while none is awaited. */
     private Future<?> patience;
+
     /** Bytes of a request have come, and not all of it. */
     private boolean started;
+
     private long idleSinceUs;
     private long awaitedSinceUs;
     private long bodySinceUs;
     private long bodyBytes;
-    /** It sent what is no request, or is sent away: it is told so, and nothing more is taken from it. */
+
+    /**
+     * It sent what is no request, or is sent away: it is told so, and nothing more is taken from
+     * it.
+     */
     private boolean leaving;
+
     /** An answer has told it that it is the last: no request behind it is taken. */
     private boolean lastAnswered;
+
     /** It is ended once all of a body that nobody waits for has come. */
     private boolean endsAfterBody;
 
@@ -100,7 +114,10 @@
         channel.close();
     }
 
-    /** Ends it so that its last answer arrives, whatever its client is sending; nothing more is taken. */
+    /**
+     * Ends it so that its last answer arrives, whatever its client is sending; nothing more is
+     * taken.
+     */
     void end() {
         leaving = true;
         endPatience();
@@ -113,8 +130,10 @@
         private final ClientConnection connection;
         private final HttpVersion version;
         boolean keepAlive;
+
         /** Null where it is none to pass on. */
         ProxyRequest request;
+
         boolean taken;
         boolean wantsContinue;
         Answer answer;
@@ -259,8 +278,11 @@
 
     private void begin(HttpRequest head) {
         // Where a request ends is not known any more once one was malformed.
-        Turn turn = new Turn(this, head.protocolVersion(),
-                HttpUtil.isKeepAlive(head) && head.decoderResult().isSuccess());
+        Turn turn =
+                new Turn(
+                        this,
+                        head.protocolVersion(),
+                        HttpUtil.isKeepAlive(head) && head.decoderResult().isSuccess());
         turns.add(turn);
         receiving = turn;
         started = true;
@@ -277,8 +299,11 @@
 
     private void readHead(Turn turn, HttpRequest head) throws RequestParser.BadRequest {
         if (head.method().equals(HttpMethod.GET) && head.uri().equals("/ready")) {
-            turn.answer(Answer.of(server.ready() ? HttpResponseStatus.OK
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE));
+            turn.answer(
+                    Answer.of(
+                            server.ready()
+                                    ? HttpResponseStatus.OK
+                                    : HttpResponseStatus.SERVICE_UNAVAILABLE));
             return;
         }
         ProxyRequest request = server.parser().parse(head, server.body(head, this::readBody));
@@ -291,15 +316,16 @@
     }
 
     private static RequestParser.BadRequest tooLarge() {
-        return new RequestParser.BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                "the body is too large");
+        return new RequestParser.BadRequest(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
     }
 
     private void more(Turn turn, HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         try {
             if (content.decoderResult().isFailure()) {
-                throw new RequestParser.BadRequest(HttpResponseStatus.BAD_REQUEST,
+                throw new RequestParser.BadRequest(
+                        HttpResponseStatus.BAD_REQUEST,
                         "the body is not HTTP: " + content.decoderResult().cause().getMessage());
             }
             bodyBytes += content.content().readableBytes();
@@ -314,7 +340,8 @@
         }
     }
 
-    private void takeBody(Turn turn, HttpContent content, boolean last) throws RequestParser.BadRequest {
+    private void takeBody(Turn turn, HttpContent content, boolean last)
+            throws RequestParser.BadRequest {
         RequestBody body = turn.request.body();
         body.add(content.content());
         if (body.size() > RequestBody.MOST) {
@@ -325,8 +352,8 @@
         }
         if (!turn.taken && (last || body.isLong())) {
             if (!server.requests().take(turn.request, server.unreadUs(), turn)) {
-                throw new RequestParser.BadRequest(HttpResponseStatus.BAD_REQUEST,
-                        "X-Request-Id is already in use");
+                throw new RequestParser.BadRequest(
+                        HttpResponseStatus.BAD_REQUEST, "X-Request-Id is already in use");
             }
             turn.taken = true;
             server.log().trace("on", turn.request.id(), channel.id());
@@ -401,26 +428,34 @@
         Turn next = turns.peek();
         if (next != null && next.wantsContinue) {
             next.wantsContinue = false;
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
         }
     }
 
     /**
-     * Whether the connection stays after this answer. It does as well where more requests have come on it, as
-     * they were taken: the last of them has its client sent away.
+     * Whether the connection stays after this answer. It does as well where more requests have come
+     * on it, as they were taken: the last of them has its client sent away.
      */
     private boolean keeps(Turn turn) {
         boolean kept = server.keepsClient();
-        boolean keeps = turn.keepAlive && !turn.endsByClose()
-                && (kept || turns.stream().anyMatch(t -> t != turn));
+        boolean keeps =
+                turn.keepAlive
+                        && !turn.endsByClose()
+                        && (kept || turns.stream().anyMatch(t -> t != turn));
         lastAnswered |= !keeps;
         return keeps;
     }
 
     private void write(Answer answer, Turn turn) {
-        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                answer.status(), Unpooled.wrappedBuffer(answer.body()));
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        answer.status(),
+                        Unpooled.wrappedBuffer(answer.body()));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         if (answer.retryAfter() != null) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, answer.retryAfter());
@@ -429,17 +464,20 @@
         if (!keep) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.writeAndFlush(response).addListener(done -> {
-            traceOut(turn, done.isSuccess());
-            if (!keep) {
-                endAfter(turn);
-            }
-        });
+        channel.writeAndFlush(response)
+                .addListener(
+                        done -> {
+                            traceOut(turn, done.isSuccess());
+                            if (!keep) {
+                                endAfter(turn);
+                            }
+                        });
     }
 
     private void traceOut(Turn turn, boolean success) {
         if (turn.request != null) {
-            server.log().trace("last-byte", turn.request.id(), success ? channel.id() : "not written");
+            server.log()
+                    .trace("last-byte", turn.request.id(), success ? channel.id() : "not written");
         }
     }
 
@@ -465,27 +503,31 @@
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         channel.writeAndFlush(head);
-        turn.stream.sendTo(channel, new Relay.Listener() {
-            @Override
-            public void passed() {
-                turn.streamed = true;
-                traceOut(turn, true);
-                turn.out.passed();
-                if (keep) {
-                    writeAnswers();
-                } else {
-                    endAfter(turn);
-                }
-            }
-
-            @Override
-            public void broken() {
-                turn.out.broken();
-            }
-        });
+        turn.stream.sendTo(
+                channel,
+                new Relay.Listener() {
+                    @Override
+                    public void passed() {
+                        turn.streamed = true;
+                        traceOut(turn, true);
+                        turn.out.passed();
+                        if (keep) {
+                            writeAnswers();
+                        } else {
+                            endAfter(turn);
+                        }
+                    }
+
+                    @Override
+                    public void broken() {
+                        turn.out.broken();
+                    }
+                });
     }
 
-    /** The client must see that an answer is not whole; where only its end would tell, by a reset. */
+    /**
+     * The client must see that an answer is not whole; where only its end would tell, by a reset.
+     */
     private void cutOff(Turn turn) {
         if (turn.endsByClose()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/src/main/java/passhatch/proxy/client/ClientServer.java
+++ b/src/main/java/passhatch/proxy/client/ClientServer.java
@@ -29,10 +29,13 @@
 public final class ClientServer {
 
     private static final int BACKLOG = 1024;
+
     /** While a newer process takes over, one in so many answers sends its client away. */
     private static final int SENT_AWAY = 8;
+
     /** Time between two lines on clients let go: there may be hundreds a second. */
     private static final long SAY_AGAIN_US = 10_000_000;
+
     /** A connection may be closed once it had no open request for this long. */
     private static final long IDLE_US = 2_000_000;
 
@@ -47,12 +50,16 @@
     private final ByteBudget budget;
     private final Descriptors descriptors;
     private final HoldUps holdUps;
+
     /** Connections that were served and have no request out, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+
     /** Those that have never sent a whole request, the longest silent first. */
     private final Set<ClientConnection> strangers = new LinkedHashSet<>();
+
     /** Those that were told to go and may not have seen it yet. */
     private final Set<ClientConnection> ending = new LinkedHashSet<>();
+
     private int letGo;
     private long sayAgainUs = Long.MIN_VALUE;
     private Channel listener;
@@ -67,10 +74,18 @@
      *
      * @param budget of the bytes of bodies that are held
      * @param holdUps of the loop
-     * @param descriptors shared with the backends' side; where there are too few, some connection is closed
+     * @param descriptors shared with the backends' side; where there are too few, some connection
+     *     is closed
      */
-    public ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser,
-            RequestHandler requests, ByteBudget budget, Descriptors descriptors, HoldUps holdUps) {
+    public ClientServer(
+            EventLoop loop,
+            Clock clock,
+            EventLog log,
+            RequestParser parser,
+            RequestHandler requests,
+            ByteBudget budget,
+            Descriptors descriptors,
+            HoldUps holdUps) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -82,23 +97,38 @@
     }
 
     /** Starts to listen and waits until it does. */
-    public InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channelFactory(Listener::new)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                // At a change of version two processes listen here.
-                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
-                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        ClientConnection connection = new ClientConnection(ClientServer.this, channel, loop);
-                        channel.pipeline().addLast(connection.reads(), connection.new Arrivals(),
-                                new RequestDecoder(), new HttpResponseEncoder(), connection);
-                    }
-                }).bind(address).await();
+    public InetSocketAddress listen(InetSocketAddress address)
+            throws IOException, InterruptedException {
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channelFactory(Listener::new)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        // At a change of version two processes listen here.
+                        .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
+                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Relay.READS)
+                        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        ClientConnection connection =
+                                                new ClientConnection(
+                                                        ClientServer.this, channel, loop);
+                                        channel.pipeline()
+                                                .addLast(
+                                                        connection.reads(),
+                                                        connection.new Arrivals(),
+                                                        new RequestDecoder(),
+                                                        new HttpResponseEncoder(),
+                                                        connection);
+                                    }
+                                })
+                        .bind(address)
+                        .await();
         if (!bound.isSuccess()) {
             throw new IOException(bound.cause().getMessage());
         }
@@ -135,13 +165,19 @@
         sharing = on;
     }
 
-    /** Whether a client is kept for a next request; not where this process ends, or others wait for room. */
+    /**
+     * Whether a client is kept for a next request; not where this process ends, or others wait for
+     * room.
+     */
     boolean keepsClient() {
         answers++;
         return !draining && !descriptors.crowded() && !(sharing && answers % SENT_AWAY == 0);
     }
 
-    /** Takes no more connections; those open are served on. The order to end may come before it listens. */
+    /**
+     * Takes no more connections; those open are served on. The order to end may come before it
+     * listens.
+     */
     public void stopListening() {
         stopped = true;
         if (listener != null) {
@@ -154,7 +190,10 @@
         unused().filter(c -> !c.started()).toList().forEach(ClientConnection::end);
     }
 
-    /** Whether a connection is being ended and its client may not have seen it; it will not take long. */
+    /**
+     * Whether a connection is being ended and its client may not have seen it; it will not take
+     * long.
+     */
     public boolean ending() {
         return !ending.isEmpty();
     }
@@ -192,7 +231,8 @@
 
     /** The body that comes after a head. */
     RequestBody body(HttpRequest head, Relay.Source source) {
-        long declared = head.decoderResult().isSuccess() ? HttpUtil.getContentLength(head, -1L) : -1;
+        long declared =
+                head.decoderResult().isSuccess() ? HttpUtil.getContentLength(head, -1L) : -1;
         return new RequestBody(loop, budget, declared, source);
     }
 
@@ -204,7 +244,10 @@
         }
     }
 
-    /** Bytes have come: of those that never sent a request, the one that is silent for longest goes first. */
+    /**
+     * Bytes have come: of those that never sent a request, the one that is silent for longest goes
+     * first.
+     */
     void active(ClientConnection c) {
         if (strangers.remove(c)) {
             strangers.add(c);
@@ -236,20 +279,31 @@
     }
 
     /**
-     * Clients know that a connection may be closed once it has been idle for a while. A client that was
-     * served just now comes after those that may never send anything.
+     * Clients know that a connection may be closed once it has been idle for a while. A client that
+     * was served just now comes after those that may never send anything.
      */
     private void letOneGo(ClientConnection newcomer) {
         letGo++;
         if (clock.nowUs() >= sayAgainUs) {
             sayAgainUs = clock.nowUs() + SAY_AGAIN_US;
-            log.line(descriptors.clients() + " clients are connected, too many: " + letGo + " let go so far");
+            log.line(
+                    descriptors.clients()
+                            + " clients are connected, too many: "
+                            + letGo
+                            + " let go so far");
         }
         ClientConnection longestIdle = idle.isEmpty() ? null : idle.iterator().next();
-        ClientConnection goes = !ending.isEmpty() ? ending.iterator().next() : longestIdle != null
-                && (strangers.size() <= 1 || longestIdle.idleSince() <= clock.nowUs() - IDLE_US) ? longestIdle
-                : strangers.size() > 1 ? strangers.iterator().next() : newcomer;
-        // The news of its end comes in a later step of the loop; until then it must not be chosen again.
+        ClientConnection goes =
+                !ending.isEmpty()
+                        ? ending.iterator().next()
+                        : longestIdle != null
+                                        && (strangers.size() <= 1
+                                                || longestIdle.idleSince()
+                                                        <= clock.nowUs() - IDLE_US)
+                                ? longestIdle
+                                : strangers.size() > 1 ? strangers.iterator().next() : newcomer;
+        // The news of its end comes in a later step of the loop; until then it must not be chosen
+        // again.
         busy(goes);
         ending.remove(goes);
         goes.close();
--- a/src/main/java/passhatch/proxy/client/Listener.java
+++ b/src/main/java/passhatch/proxy/client/Listener.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * A listening socket that takes all connections that wait at it before it closes: the system would reset
- * them, though another process listens at the same address.
+ * A listening socket that takes all connections that wait at it before it closes: the system would
+ * reset them, though another process listens at the same address.
  */
 public final class Listener extends NioServerSocketChannel {
 
--- a/src/main/java/passhatch/proxy/client/ProxyRequest.java
+++ b/src/main/java/passhatch/proxy/client/ProxyRequest.java
@@ -14,5 +14,14 @@
  * @param uri path and query, to go on unchanged
  * @param idempotencyKey the key of a keyed request, or null
  */
-public record ProxyRequest(String id, int requestClass, int tenant, long budgetUs, long workUs, boolean retry,
-        HttpMethod method, String uri, String idempotencyKey, RequestBody body) { }
+public record ProxyRequest(
+        String id,
+        int requestClass,
+        int tenant,
+        long budgetUs,
+        long workUs,
+        boolean retry,
+        HttpMethod method,
+        String uri,
+        String idempotencyKey,
+        RequestBody body) {}
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -7,9 +7,10 @@
 import passhatch.proxy.flow.ByteBudget;
 
 /**
- * Reads on from a client while no more requests, or no more of a body, are wanted from it: that it has left
- * shows only behind all that it had sent before. What comes meanwhile is held, up to a bound; a client that
- * sends more than that is not read from until it is wanted again, and cannot be seen to leave until then.
+ * Reads on from a client while no more requests, or no more of a body, are wanted from it: that it
+ * has left shows only behind all that it had sent before. What comes meanwhile is held, up to a
+ * bound; a client that sends more than that is not read from until it is wanted again, and cannot
+ * be seen to leave until then.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
 
@@ -60,7 +61,9 @@
         regulate();
     }
 
-    /** What is passed on may make more wanted, or less; it is passed on in its order all the same. */
+    /**
+     * What is passed on may make more wanted, or less; it is passed on in its order all the same.
+     */
     private void pass() {
         if (passing) {
             return;
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -21,14 +21,17 @@
     boolean ready();
 
     /**
-     * Takes a request whose body is whole, or is too long to be kept; false where one with its id is still
-     * held.
+     * Takes a request whose body is whole, or is too long to be kept; false where one with its id
+     * is still held.
      *
      * @param unreadUs how long its last bytes may have stood unread, in microseconds
      */
     boolean take(ProxyRequest request, long unreadUs, Responder responder);
 
-    /** All of a request has come, of which only a part had when it was taken: its time runs from now on. */
+    /**
+     * All of a request has come, of which only a part had when it was taken: its time runs from now
+     * on.
+     */
     void bodyEnded(String id, long unreadUs);
 
     /** The client has closed its connection, or spoilt its request: no answer is owed any more. */
--- a/src/main/java/passhatch/proxy/client/RequestParser.java
+++ b/src/main/java/passhatch/proxy/client/RequestParser.java
@@ -41,7 +41,8 @@
     private final List<String> classNames;
     private final List<String> tenants;
 
-    public RequestParser(List<RequestClass> classes, List<String> classNames, List<String> tenants) {
+    public RequestParser(
+            List<RequestClass> classes, List<String> classNames, List<String> tenants) {
         this.classes = classes;
         this.classNames = classNames;
         this.tenants = tenants;
@@ -63,22 +64,38 @@
             throw bad("X-Request-Id is missing or malformed");
         }
         long budgetUs = deadlineUs(headers.get("X-Deadline"), classes.get(kind).deadlineUs());
-        return new ProxyRequest(id, kind, tenant(headers.get("X-Tenant")), budgetUs,
-                hintUs(headers.get("X-Cost-Hint")), "1".equals(headers.get("X-Retry")), http.method(),
-                http.uri(), headers.get("Idempotency-Key"), body);
+        return new ProxyRequest(
+                id,
+                kind,
+                tenant(headers.get("X-Tenant")),
+                budgetUs,
+                hintUs(headers.get("X-Cost-Hint")),
+                "1".equals(headers.get("X-Retry")),
+                http.method(),
+                http.uri(),
+                headers.get("Idempotency-Key"),
+                body);
     }
 
-    /** The first part of the path; its effect must be the one that the method promises the caller. */
+    /**
+     * The first part of the path; its effect must be the one that the method promises the caller.
+     */
     private int requestClass(HttpRequest http) throws BadRequest {
         String path = new QueryStringDecoder(http.uri()).rawPath();
         int end = path.indexOf('/', 1);
-        int kind = path.startsWith("/") ? named(path.substring(1, end < 0 ? path.length() : end)) : -1;
+        int kind =
+                path.startsWith("/") ? named(path.substring(1, end < 0 ? path.length() : end)) : -1;
         if (kind < 0) {
             throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such path");
         }
-        Effect effect = http.method().equals(HttpMethod.GET) ? Effect.SAFE
-                : !http.method().equals(HttpMethod.POST) ? null
-                : http.headers().contains("Idempotency-Key") ? Effect.KEYED : Effect.UNSAFE;
+        Effect effect =
+                http.method().equals(HttpMethod.GET)
+                        ? Effect.SAFE
+                        : !http.method().equals(HttpMethod.POST)
+                                ? null
+                                : http.headers().contains("Idempotency-Key")
+                                        ? Effect.KEYED
+                                        : Effect.UNSAFE;
         if (effect != classes.get(kind).effect()) {
             throw bad("the method or Idempotency-Key does not fit the class");
         }
@@ -89,8 +106,10 @@
     private int named(String part) {
         int plain = classNames.indexOf(part);
         try {
-            return plain >= 0 ? plain : classNames.indexOf(
-                    URLDecoder.decode(part.replace("+", "%2B"), StandardCharsets.UTF_8));
+            return plain >= 0
+                    ? plain
+                    : classNames.indexOf(
+                            URLDecoder.decode(part.replace("+", "%2B"), StandardCharsets.UTF_8));
         } catch (IllegalArgumentException malformed) {
             return -1;
         }
@@ -115,7 +134,8 @@
         if (!parts.matches()) {
             throw bad(BAD_DEADLINE);
         }
-        return (long) (Double.parseDouble(parts.group(1)) * (parts.group(2).equals("m") ? 1000 : 1));
+        return (long)
+                (Double.parseDouble(parts.group(1)) * (parts.group(2).equals("m") ? 1000 : 1));
     }
 
     /** A guess that cannot be read is no guess. */
--- a/src/main/java/passhatch/proxy/control/Control.java
+++ b/src/main/java/passhatch/proxy/control/Control.java
@@ -32,8 +32,10 @@
 
     /** Callers at a time; for one more, the one that has been silent for longest is let go. */
     public static final int MOST_CALLERS = 16;
+
     private static final int BACKLOG = 128;
     private static final int LONGEST_LINE = 256;
+
     /** A caller that has sent no whole line by then is let go. */
     private static final long LINE_WITHIN_MS = 5_000;
 
@@ -58,10 +60,14 @@
     /**
      * The same for a process that answers further calls.
      *
-     * @param more the answer to a call that is neither {@code check} nor {@code vars}, or null where it is
-     *     none
+     * @param more the answer to a call that is neither {@code check} nor {@code vars}, or null
+     *     where it is none
      */
-    public Control(EventLoop loop, EventLog log, BooleanSupplier ready, Supplier<String> figures,
+    public Control(
+            EventLoop loop,
+            EventLog log,
+            BooleanSupplier ready,
+            Supplier<String> figures,
             UnaryOperator<String> more) {
         this.more = more;
         this.loop = loop;
@@ -70,20 +76,36 @@
         this.figures = figures;
     }
 
-    /** Starts to listen; a proxy that cannot be asked still serves, so the log says why and that is all. */
+    /**
+     * Starts to listen; a proxy that cannot be asked still serves, so the log says why and that is
+     * all.
+     */
     public void listen(InetSocketAddress address) throws InterruptedException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE, true, true),
-                                new StringDecoder(StandardCharsets.US_ASCII),
-                                new StringEncoder(StandardCharsets.US_ASCII), new Caller());
-                    }
-                }).bind(address).await();
+        ChannelFuture bound =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(
+                                                        new LineBasedFrameDecoder(
+                                                                LONGEST_LINE, true, true),
+                                                        new StringDecoder(
+                                                                StandardCharsets.US_ASCII),
+                                                        new StringEncoder(
+                                                                StandardCharsets.US_ASCII),
+                                                        new Caller());
+                                    }
+                                })
+                        .bind(address)
+                        .await();
         if (bound.isSuccess()) {
             listener = bound.channel();
         } else {
@@ -114,13 +136,20 @@
             if (callers.size() > MOST_CALLERS) {
                 callers.iterator().next().close();
             }
-            var patience = loop.schedule(() -> {
-                ctx.close();
-            }, LINE_WITHIN_MS, TimeUnit.MILLISECONDS);
-            ctx.channel().closeFuture().addListener(closed -> {
-                patience.cancel(false);
-                callers.remove(ctx.channel());
-            });
+            var patience =
+                    loop.schedule(
+                            () -> {
+                                ctx.close();
+                            },
+                            LINE_WITHIN_MS,
+                            TimeUnit.MILLISECONDS);
+            ctx.channel()
+                    .closeFuture()
+                    .addListener(
+                            closed -> {
+                                patience.cancel(false);
+                                callers.remove(ctx.channel());
+                            });
         }
 
         @Override
--- a/src/main/java/passhatch/proxy/control/Figures.java
+++ b/src/main/java/passhatch/proxy/control/Figures.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 
-/** What this process has done since its start. All of it runs on the event loop, so plain fields do. */
+/**
+ * What this process has done since its start. All of it runs on the event loop, so plain fields do.
+ */
 public final class Figures {
 
     /** How a request that was taken has ended. */
@@ -44,7 +46,9 @@
         StringBuilder text = new StringBuilder();
         for (Ending how : Ending.values()) {
             for (int c = 0; c < classes.size(); c++) {
-                line(text, how.figure + "{tier=\"" + escaped(classes.get(c)) + "\"}",
+                line(
+                        text,
+                        how.figure + "{tier=\"" + escaped(classes.get(c)) + "\"}",
                         ended[how.ordinal()][c]);
             }
         }
--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -30,30 +30,35 @@
 import passhatch.proxy.base.EventLog;
 
 /**
- * Watches discovery for the list of backends. A watch that ends is taken up again from the last version
- * heard; where discovery will not do that, the whole list is fetched first.
+ * Watches discovery for the list of backends. A watch that ends is taken up again from the last
+ * version heard; where discovery will not do that, the whole list is fetched first.
  */
 public final class Discovery {
 
     /**
-     * An empty line comes every 2 s, and what there is to tell counts as told after 6 s: a watch that is
-     * silent for longer than one of these is given up while there is time to ask once more.
+     * An empty line comes every 2 s, and what there is to tell counts as told after 6 s: a watch
+     * that is silent for longer than one of these is given up while there is time to ask once more.
      */
     private static final long SILENCE_MS = 3_000;
+
     /**
-     * A call may wait its turn for some seconds, and asking again sooner would only make the queue longer.
-     * But what a call misses that gets no answer at all counts as told after 6 s: until then there has to be
-     * time for one more.
+     * A call may wait its turn for some seconds, and asking again sooner would only make the queue
+     * longer. But what a call misses that gets no answer at all counts as told after 6 s: until
+     * then there has to be time for one more.
      */
     private static final long ANSWER_WITHIN_MS = 3_500;
+
     /**
-     * What discovery has to tell at its return from an outage counts as told at once, and from then on a
-     * server that drains may be sent something for the grace of the settings only. A pause and a connection
-     * that was tried while discovery was down, and so never comes up, take this part of it each.
+     * What discovery has to tell at its return from an outage counts as told at once, and from then
+     * on a server that drains may be sent something for the grace of the settings only. A pause and
+     * a connection that was tried while discovery was down, and so never comes up, take this part
+     * of it each.
      */
     private static final double PART_OF_GRACE = 0.4;
+
     private static final long LONGEST_BLIND_MS = 400;
     private static final long SHORTEST_BLIND_MS = 50;
+
     /** More bytes than this are no list of backends. */
     private static final int LONGEST_LIST = 1 << 22;
 
@@ -76,6 +81,7 @@
     private boolean stopped;
     private Channel channel;
     private InetSocketAddress address;
+
     /** The watch that is out; one that was given up for another says nothing any more. */
     private Watch current;
 
@@ -88,8 +94,13 @@
      * @param models names of the machine kinds, by position
      * @param drainGraceUs how long a server that drains may be sent something, in microseconds
      */
-    public record Source(InetSocketAddress address, EndpointList known, boolean onRequest, List<String> zones,
-            List<String> models, long drainGraceUs) { }
+    public record Source(
+            InetSocketAddress address,
+            EndpointList known,
+            boolean onRequest,
+            List<String> zones,
+            List<String> models,
+            long drainGraceUs) {}
 
     /** A watch that has not begun; the seed is of the pauses between two. */
     public Discovery(EventLoop loop, EventLog log, Source source, long seed, Listener listener) {
@@ -98,11 +109,18 @@
         this.source = source;
         this.listener = listener;
         this.address = source.address();
-        this.blindMs = Math.max(SHORTEST_BLIND_MS, Math.min(LONGEST_BLIND_MS,
-                (long) (TimeUnit.MICROSECONDS.toMillis(source.drainGraceUs()) * PART_OF_GRACE)));
+        this.blindMs =
+                Math.max(
+                        SHORTEST_BLIND_MS,
+                        Math.min(
+                                LONGEST_BLIND_MS,
+                                (long)
+                                        (TimeUnit.MICROSECONDS.toMillis(source.drainGraceUs())
+                                                * PART_OF_GRACE)));
         this.pauses = new Pauses(blindMs, seed);
         this.index = source.known().index();
-        // A list may well have the version 0: a watch from there is one call, a list and a watch are two.
+        // A list may well have the version 0: a watch from there is one call, a list and a watch
+        // are two.
         this.whole = index == 0 && source.known().endpoints().isEmpty();
     }
 
@@ -127,28 +145,39 @@
         String path = fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index;
         Watch watch = new Watch(fetch);
         current = watch;
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) blindMs)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(),
-                                new ReadTimeoutHandler(ANSWER_WITHIN_MS, TimeUnit.MILLISECONDS), watch);
-                    }
-                });
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) blindMs)
+                        .handler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel ch) {
+                                        ch.pipeline()
+                                                .addLast(
+                                                        new HttpClientCodec(),
+                                                        new ReadTimeoutHandler(
+                                                                ANSWER_WITHIN_MS,
+                                                                TimeUnit.MILLISECONDS),
+                                                        watch);
+                                    }
+                                });
         ChannelFuture connecting = bootstrap.connect(address);
         channel = connecting.channel();
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
-                DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                        path);
-                get.headers().set(HttpHeaderNames.HOST, "discovery");
-                connecting.channel().writeAndFlush(get);
-            } else {
-                log.line("discovery: " + done.cause().getMessage());
-            }
-        });
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        DefaultFullHttpRequest get =
+                                new DefaultFullHttpRequest(
+                                        HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+                        get.headers().set(HttpHeaderNames.HOST, "discovery");
+                        connecting.channel().writeAndFlush(get);
+                    } else {
+                        log.line("discovery: " + done.cause().getMessage());
+                    }
+                });
         channel.closeFuture().addListener(closed -> ended(watch));
     }
 
@@ -208,8 +237,11 @@
                 }
             }
             if (ok && message instanceof HttpResponse) {
-                ctx.pipeline().replace(ReadTimeoutHandler.class, null,
-                        new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
+                ctx.pipeline()
+                        .replace(
+                                ReadTimeoutHandler.class,
+                                null,
+                                new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
             }
             if (ok && message instanceof HttpContent content) {
                 values.read(content.content());
@@ -228,10 +260,14 @@
             if (!values.pending()) {
                 stopPending();
             } else if (pending == null) {
-                pending = loop.schedule(() -> {
-                    skipped("it did not end");
-                    ctx.close();
-                }, SILENCE_MS, TimeUnit.MILLISECONDS);
+                pending =
+                        loop.schedule(
+                                () -> {
+                                    skipped("it did not end");
+                                    ctx.close();
+                                },
+                                SILENCE_MS,
+                                TimeUnit.MILLISECONDS);
             }
         }
 
@@ -259,7 +295,8 @@
             }
             stopPending();
             if (!list.whole() && list.index() < index) {
-                // Versions only grow: what was said since would be undone, such as that a server drains.
+                // Versions only grow: what was said since would be undone, such as that a server
+                // drains.
                 skipped("its version " + list.index() + " is older than " + index);
                 return;
             }
@@ -282,7 +319,10 @@
             }
         }
 
-        /** Where one is broken in the middle, more of its lines may follow: one line in the log does. */
+        /**
+         * Where one is broken in the middle, more of its lines may follow: one line in the log
+         * does.
+         */
         @Override
         public void skipped(String why) {
             if (!skipping) {
--- a/src/main/java/passhatch/proxy/discovery/EndpointList.java
+++ b/src/main/java/passhatch/proxy/discovery/EndpointList.java
@@ -20,7 +20,7 @@
     public static final EndpointList EMPTY = new EndpointList(0, true, List.of());
 
     /** A backend and where this proxy reaches it. */
-    public record Endpoint(Server server, InetSocketAddress address) { }
+    public record Endpoint(Server server, InetSocketAddress address) {}
 
     public List<Server> servers() {
         return endpoints.stream().map(Endpoint::server).toList();
@@ -29,10 +29,11 @@
     /**
      * Reads a message.
      *
-     * @throws IllegalArgumentException where any of it is malformed: half a list would pass off the backends
-     *     that it lacks as gone
+     * @throws IllegalArgumentException where any of it is malformed: half a list would pass off the
+     *     backends that it lacks as gone
      */
-    public static EndpointList of(Map<String, Object> json, List<String> zones, List<String> models) {
+    public static EndpointList of(
+            Map<String, Object> json, List<String> zones, List<String> models) {
         List<Endpoint> endpoints = new ArrayList<>();
         for (Object item : typed(json, "endpoints", List.class)) {
             if (!(item instanceof Map<?, ?> line)) {
@@ -40,28 +41,38 @@
             }
             endpoints.add(endpoint(line, zones, models));
         }
-        return new EndpointList(typed(json, "index", Number.class).longValue(),
-                typed(json, "snapshot", Boolean.class), endpoints);
+        return new EndpointList(
+                typed(json, "index", Number.class).longValue(),
+                typed(json, "snapshot", Boolean.class),
+                endpoints);
     }
 
     private static Endpoint endpoint(Map<?, ?> line, List<String> zones, List<String> models) {
-        ServerStatus status = switch (typed(line, "status", String.class)) {
-            case "SERVING" -> ServerStatus.UP;
-            case "DRAINING" -> ServerStatus.DRAINING;
-            case "DELETED" -> ServerStatus.GONE;
-            default -> throw new IllegalArgumentException("status '" + line.get("status") + "' is not known");
-        };
-        Server server = new Server(typed(line, "name", String.class),
-                Clock.fromUnixMs(typed(line, "since_ms", Number.class).longValue()),
-                zones.indexOf(line.get("zone")), line.get("group") instanceof Number n ? n.intValue() : 0,
-                status, models.indexOf(line.get("type")));
+        ServerStatus status =
+                switch (typed(line, "status", String.class)) {
+                    case "SERVING" -> ServerStatus.UP;
+                    case "DRAINING" -> ServerStatus.DRAINING;
+                    case "DELETED" -> ServerStatus.GONE;
+                    default ->
+                            throw new IllegalArgumentException(
+                                    "status '" + line.get("status") + "' is not known");
+                };
+        Server server =
+                new Server(
+                        typed(line, "name", String.class),
+                        Clock.fromUnixMs(typed(line, "since_ms", Number.class).longValue()),
+                        zones.indexOf(line.get("zone")),
+                        line.get("group") instanceof Number n ? n.intValue() : 0,
+                        status,
+                        models.indexOf(line.get("type")));
         return new Endpoint(server, Addresses.parse(typed(line, "address", String.class)));
     }
 
     private static <T> T typed(Map<?, ?> json, String key, Class<T> type) {
         Object value = json.get(key);
         if (!type.isInstance(value)) {
-            throw new IllegalArgumentException(key + " is missing or not a " + type.getSimpleName());
+            throw new IllegalArgumentException(
+                    key + " is missing or not a " + type.getSimpleName());
         }
         return type.cast(value);
     }
--- a/src/main/java/passhatch/proxy/discovery/JsonValues.java
+++ b/src/main/java/passhatch/proxy/discovery/JsonValues.java
@@ -5,9 +5,10 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Finds the JSON objects in what discovery sends. Each may stand on one line or be indented over many, so its
- * end is where its braces close. Netty's own decoder of this kind gives up at the first byte that is no JSON;
- * here reading goes on with the next line, as the changes after a bad one still count.
+ * Finds the JSON objects in what discovery sends. Each may stand on one line or be indented over
+ * many, so its end is where its braces close. Netty's own decoder of this kind gives up at the
+ * first byte that is no JSON; here reading goes on with the next line, as the changes after a bad
+ * one still count.
  */
 final class JsonValues {
 
@@ -29,8 +30,10 @@
     private int depth;
     private boolean inText;
     private boolean escaped;
+
     /** Something stands on this line that is no start of an object: it is passed over. */
     private boolean skipping;
+
     /** Something has stood on this line. */
     private boolean used;
 
--- a/src/main/java/passhatch/proxy/discovery/Pauses.java
+++ b/src/main/java/passhatch/proxy/discovery/Pauses.java
@@ -3,8 +3,9 @@
 import java.util.SplittableRandom;
 
 /**
- * The pauses before discovery is asked again. They double with each failure and are drawn, as the watches of
- * all proxies end together and must not all come back in the same moment; any success takes them back.
+ * The pauses before discovery is asked again. They double with each failure and are drawn, as the
+ * watches of all proxies end together and must not all come back in the same moment; any success
+ * takes them back.
  */
 final class Pauses {
 
--- a/src/main/java/passhatch/proxy/flow/AnswerStream.java
+++ b/src/main/java/passhatch/proxy/flow/AnswerStream.java
@@ -2,7 +2,9 @@
 
 import io.netty.channel.Channel;
 
-/** A 200 answer that goes on as it comes, as it is too long to be held. Nothing is read from it yet. */
+/**
+ * A 200 answer that goes on as it comes, as it is too long to be held. Nothing is read from it yet.
+ */
 public interface AnswerStream {
 
     /** Its length, or -1 where its end will show. */
--- a/src/main/java/passhatch/proxy/flow/ByteBudget.java
+++ b/src/main/java/passhatch/proxy/flow/ByteBudget.java
@@ -1,6 +1,9 @@
 package passhatch.proxy.flow;
 
-/** The bytes of bodies that this process holds on their way, over all connections, and how many it may. */
+/**
+ * The bytes of bodies that this process holds on their way, over all connections, and how many it
+ * may.
+ */
 public final class ByteBudget {
 
     private final long most;
--- a/src/main/java/passhatch/proxy/flow/HeldBytes.java
+++ b/src/main/java/passhatch/proxy/flow/HeldBytes.java
@@ -4,7 +4,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 
-/** The start of a body, or all of a short one, that is held back for a while within the byte budget. */
+/**
+ * The start of a body, or all of a short one, that is held back for a while within the byte budget.
+ */
 public final class HeldBytes {
 
     private final ByteBudget budget;
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -12,16 +12,19 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Passes a body on to a channel as it comes. Its source waits while the channel is full, or while bytes stand
- * before that channel and too many are held over all connections. A relay with nothing on its way never
- * waits for others, so one that is slow cannot stop the rest.
+ * Passes a body on to a channel as it comes. Its source waits while the channel is full, or while
+ * bytes stand before that channel and too many are held over all connections. A relay with nothing
+ * on its way never waits for others, so one that is slow cannot stop the rest.
  */
 public final class Relay {
 
     /** When a connection counts as full, and as free again. */
-    public static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 16);
+    public static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(1 << 14, 1 << 16);
+
     /** What is read at a time, as all of it is held until it has gone on. */
-    public static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
+    public static final RecvByteBufAllocator READS =
+            new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
 
     /** Peers take seconds to read or write; one that does nothing for this long has gone. */
     private static final long STALL_MS = 30_000;
@@ -60,14 +63,18 @@
     }
 
     private void watch() {
-        watch = loop.schedule(() -> {
-            if (moved) {
-                moved = false;
-                watch();
-            } else {
-                end(false);
-            }
-        }, STALL_MS, TimeUnit.MILLISECONDS);
+        watch =
+                loop.schedule(
+                        () -> {
+                            if (moved) {
+                                moved = false;
+                                watch();
+                            } else {
+                                end(false);
+                            }
+                        },
+                        STALL_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** Passes bytes on; the buffer is the relay's from now on. */
@@ -80,16 +87,18 @@
         moved = true;
         pending += size;
         budget.add(size);
-        to.writeAndFlush(new DefaultHttpContent(bytes)).addListener(written -> {
-            pending -= size;
-            budget.remove(size);
-            moved = true;
-            if (!written.isSuccess()) {
-                end(false);
-            } else if (!over) {
-                regulate();
-            }
-        });
+        to.writeAndFlush(new DefaultHttpContent(bytes))
+                .addListener(
+                        written -> {
+                            pending -= size;
+                            budget.remove(size);
+                            moved = true;
+                            if (!written.isSuccess()) {
+                                end(false);
+                            } else if (!over) {
+                                regulate();
+                            }
+                        });
         if (!over) {
             regulate();
         }
@@ -101,7 +110,8 @@
             return;
         }
         source = null;
-        to.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written -> end(written.isSuccess()));
+        to.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                .addListener(written -> end(written.isSuccess()));
     }
 
     /** Nothing more is passed on, and nothing more is heard. */
--- a/src/main/java/passhatch/proxy/flow/RequestBody.java
+++ b/src/main/java/passhatch/proxy/flow/RequestBody.java
@@ -6,13 +6,15 @@
 import io.netty.channel.EventLoop;
 
 /**
- * The body of a request, from its client's connection to a backend's. A short one is kept, so it may be sent
- * more than once. A long one goes to one backend as it comes, and what has gone cannot be sent again.
+ * The body of a request, from its client's connection to a backend's. A short one is kept, so it
+ * may be sent more than once. A long one goes to one backend as it comes, and what has gone cannot
+ * be sent again.
  */
 public final class RequestBody {
 
     /** A body of up to this size is kept. */
     public static final int MOST_KEPT = 1 << 16;
+
     /** There is none longer than this, in answers neither. */
     public static final int MOST = 1 << 25;
 
@@ -23,8 +25,10 @@
     private final HeldBytes held;
     private long size;
     private boolean ended;
+
     /** Its bytes have begun to go to a backend, or nobody wants them any more. */
     private boolean spent;
+
     private Relay relay;
 
     /**
--- a/src/main/java/passhatch/store/Disk.java
+++ b/src/main/java/passhatch/store/Disk.java
@@ -5,9 +5,9 @@
 import java.util.List;
 
 /**
- * One folder on a disk, as far as the store needs it: flat names, files that only grow or are cut. What is
- * not forced may be lost, in part or whole and in any order, when the power fails. After any call that
- * failed the state of its file is not known.
+ * One folder on a disk, as far as the store needs it: flat names, files that only grow or are cut.
+ * What is not forced may be lost, in part or whole and in any order, when the power fails. After
+ * any call that failed the state of its file is not known.
  */
 public interface Disk extends AutoCloseable {
 
@@ -36,7 +36,9 @@
     /** Returns once all names made, changed and deleted so far will be so after a power loss. */
     void forceFolder() throws IOException;
 
-    /** Gives a file another name; a file that has that name already is replaced in the same moment. */
+    /**
+     * Gives a file another name; a file that has that name already is replaced in the same moment.
+     */
     void rename(String from, String to) throws IOException;
 
     /** Cuts a file down to a size. */
--- a/src/main/java/passhatch/store/FolderDisk.java
+++ b/src/main/java/passhatch/store/FolderDisk.java
@@ -34,8 +34,9 @@
      */
     public static FolderDisk take(Path folder) throws IOException, StoreException.InUse {
         Files.createDirectories(folder);
-        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        FileChannel file =
+                FileChannel.open(
+                        folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         try {
             if (file.tryLock() != null) {
                 return new FolderDisk(folder, file);
@@ -50,8 +51,10 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString())
-                    .filter(n -> !n.equals(LOCK)).toList();
+            return files.filter(Files::isRegularFile)
+                    .map(f -> f.getFileName().toString())
+                    .filter(n -> !n.equals(LOCK))
+                    .toList();
         }
     }
 
@@ -64,7 +67,8 @@
     public byte[] read(String name, int most) throws IOException {
         long size = size(name);
         if (size > most) {
-            throw new IOException(name + " has " + size + " bytes, and at most " + most + " are read");
+            throw new IOException(
+                    name + " has " + size + " bytes, and at most " + most + " are read");
         }
         return Files.readAllBytes(folder.resolve(name));
     }
@@ -77,8 +81,11 @@
     private FileChannel channel(String name) throws IOException {
         FileChannel channel = open.get(name);
         if (channel == null) {
-            channel = FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE,
-                    StandardOpenOption.APPEND);
+            channel =
+                    FileChannel.open(
+                            folder.resolve(name),
+                            StandardOpenOption.WRITE,
+                            StandardOpenOption.APPEND);
             open.put(name, channel);
         }
         return channel;
@@ -115,7 +122,10 @@
     public void rename(String from, String to) throws IOException {
         closeFile(from);
         closeFile(to);
-        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
+        Files.move(
+                folder.resolve(from),
+                folder.resolve(to),
+                StandardCopyOption.ATOMIC_MOVE,
                 StandardCopyOption.REPLACE_EXISTING);
     }
 
--- a/src/main/java/passhatch/store/Format.java
+++ b/src/main/java/passhatch/store/Format.java
@@ -10,27 +10,35 @@
 final class Format {
 
     static final int VERSION = 1;
+
     /** The most bytes of a record's content. */
     static final int MOST_RECORD = 1 << 16;
+
     /** Of a segment: it is ended before a record that would make it larger. */
     static final int MOST_SEGMENT = 1 << 22;
+
     /** Of the snapshot and the segments after it. */
     static final long MOST_ALL = 1L << 26;
+
     /** Of an owner's name in UTF-8. */
     static final int MOST_OWNER = 64;
+
     /** The kind of a mark; users' kinds are above it. */
     static final int MARK = 0;
 
     private static final int SEGMENT_MAGIC = 0x4c57_5347;
     private static final int SNAPSHOT_MAGIC = 0x4c57_534e;
+
     /** Magic, version, owner's length and bytes, epoch, first record, CRC. */
     static final int HEAD_BYTES = 4 + 2 + 2 + MOST_OWNER + 8 + 8 + 4;
+
     /** Length, sequence, kind, CRC. */
     static final int RECORD_HEAD = 4 + 8 + 2 + 4;
+
     private static final String SEGMENT = "segment-";
     private static final String SNAPSHOT = "snapshot-";
 
-    private Format() { }
+    private Format() {}
 
     /**
      * What a segment or snapshot begins with.
@@ -38,10 +46,10 @@
      * @param epoch of the process that wrote it
      * @param first record of a segment, or the one that a snapshot is up to
      */
-    record Head(boolean snapshot, int version, String owner, long epoch, long first) { }
+    record Head(boolean snapshot, int version, String owner, long epoch, long first) {}
 
     /** A record that was read, and where the next begins. */
-    record Read(long sequence, int kind, byte[] bytes, int next) { }
+    record Read(long sequence, int kind, byte[] bytes, int next) {}
 
     static String segment(long first) {
         return SEGMENT + String.format(Locale.ROOT, "%016x", first);
@@ -61,8 +69,11 @@
     static ByteBuffer head(Head head) {
         ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES);
         byte[] owner = head.owner().getBytes(StandardCharsets.UTF_8);
-        out.putInt(head.snapshot() ? SNAPSHOT_MAGIC : SEGMENT_MAGIC).putShort((short) head.version())
-                .putShort((short) owner.length).put(Arrays.copyOf(owner, MOST_OWNER)).putLong(head.epoch())
+        out.putInt(head.snapshot() ? SNAPSHOT_MAGIC : SEGMENT_MAGIC)
+                .putShort((short) head.version())
+                .putShort((short) owner.length)
+                .put(Arrays.copyOf(owner, MOST_OWNER))
+                .putLong(head.epoch())
                 .putLong(head.first());
         return out.putInt(crc(out.array(), 0, out.position())).flip();
     }
@@ -76,7 +87,8 @@
         int magic = in.getInt();
         int version = in.getShort();
         int ownerBytes = in.getShort();
-        if (in.getInt(HEAD_BYTES - 4) != crc(file, 0, HEAD_BYTES - 4) || ownerBytes < 0
+        if (in.getInt(HEAD_BYTES - 4) != crc(file, 0, HEAD_BYTES - 4)
+                || ownerBytes < 0
                 || ownerBytes > MOST_OWNER
                 || magic != SEGMENT_MAGIC && magic != SNAPSHOT_MAGIC) {
             return null;
@@ -108,16 +120,23 @@
         int length = in.getInt();
         long sequence = in.getLong();
         int kind = in.getShort();
-        if (length < 0 || length > MOST_RECORD || length > file.length - at - RECORD_HEAD || sequence < 0
+        if (length < 0
+                || length > MOST_RECORD
+                || length > file.length - at - RECORD_HEAD
+                || sequence < 0
                 || kind < 0) {
             return null;
         }
         CRC32C crc = new CRC32C();
         crc.update(file, at, RECORD_HEAD - 4);
         crc.update(file, at + RECORD_HEAD, length);
-        return in.getInt() != (int) crc.getValue() ? null : new Read(sequence, kind,
-                Arrays.copyOfRange(file, at + RECORD_HEAD, at + RECORD_HEAD + length), at + RECORD_HEAD
-                        + length);
+        return in.getInt() != (int) crc.getValue()
+                ? null
+                : new Read(
+                        sequence,
+                        kind,
+                        Arrays.copyOfRange(file, at + RECORD_HEAD, at + RECORD_HEAD + length),
+                        at + RECORD_HEAD + length);
     }
 
     private static int crc(byte[] bytes, int from, int length) {
--- a/src/main/java/passhatch/store/GroupCommit.java
+++ b/src/main/java/passhatch/store/GroupCommit.java
@@ -7,18 +7,19 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Shares a record log among threads: what comes while the disk is being forced goes out together with the
- * next force. Owns the log and the one thread that writes to it.
+ * Shares a record log among threads: what comes while the disk is being forced goes out together
+ * with the next force. Owns the log and the one thread that writes to it.
  */
 public final class GroupCommit implements AutoCloseable {
 
     /** Records that wait for the disk; who brings more waits as well. */
     private static final int MOST_WAITING = 4096;
+
     /** Bytes of one group, so that it always fits a segment. */
     private static final int MOST_BYTES = 1 << 20;
 
     /** One record that waits; a null entry asks the thread to end. */
-    private record Waiting(Entry entry, CompletableFuture<Long> done) { }
+    private record Waiting(Entry entry, CompletableFuture<Long> done) {}
 
     private final RecordLog log;
     private final BlockingQueue<Waiting> queue = new ArrayBlockingQueue<>(MOST_WAITING);
@@ -89,7 +90,10 @@
         }
     }
 
-    /** Writes what waits, and gives the log up; who is interrupted meanwhile leaves the rest unwritten. */
+    /**
+     * Writes what waits, and gives the log up; who is interrupted meanwhile leaves the rest
+     * unwritten.
+     */
     @Override
     public void close() throws StoreException {
         try {
--- a/src/main/java/passhatch/store/Inspection.java
+++ b/src/main/java/passhatch/store/Inspection.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Looks at a store without its owner: reads all of it, and brings what can be read to another folder. */
+/**
+ * Looks at a store without its owner: reads all of it, and brings what can be read to another
+ * folder.
+ */
 public final class Inspection {
 
     private static final int GROUP = 64;
@@ -18,18 +21,25 @@
      * @param notes of ends that were never acknowledged, which is no damage
      * @param damage of what may have been acknowledged; empty where all is good
      */
-    public record Report(long records, long last, long epoch, List<String> notes, List<String> damage) { }
+    public record Report(
+            long records, long last, long epoch, List<String> notes, List<String> damage) {}
 
-    private Inspection() { }
+    private Inspection() {}
 
     /** Reads all that can be read, past any damage, and changes nothing. */
     public static Report inspect(Disk disk, Consumer<Entry> heard) throws StoreException {
         long[] records = {0};
         try {
-            Reader.Found found = new Reader(disk, null, true, entry -> {
-                records[0]++;
-                heard.accept(entry);
-            }).read();
+            Reader.Found found =
+                    new Reader(
+                                    disk,
+                                    null,
+                                    true,
+                                    entry -> {
+                                        records[0]++;
+                                        heard.accept(entry);
+                                    })
+                            .read();
             List<String> notes = new ArrayList<>();
             List<String> damage = new ArrayList<>();
             for (Reader.Fault fault : found.faults()) {
@@ -37,7 +47,8 @@
             }
             return new Report(records[0], found.last(), found.epoch(), notes, damage);
         } catch (IOException failed) {
-            throw new StoreException.Failed("the store cannot be read: " + failed.getMessage(), failed);
+            throw new StoreException.Failed(
+                    "the store cannot be read: " + failed.getMessage(), failed);
         }
     }
 
@@ -49,15 +60,23 @@
     public static Report salvage(Disk from, Disk to, String owner) throws StoreException {
         List<Entry> group = new ArrayList<>();
         StoreException[] failed = {null};
-        try (RecordLog log = RecordLog.open(to, owner, entry -> {
-            throw new IllegalArgumentException("the folder that is salvaged to is not empty");
-        })) {
-            Report report = inspect(from, entry -> {
-                group.add(entry);
-                if (group.size() == GROUP) {
-                    failed[0] = write(log, group, failed[0]);
-                }
-            });
+        try (RecordLog log =
+                RecordLog.open(
+                        to,
+                        owner,
+                        entry -> {
+                            throw new IllegalArgumentException(
+                                    "the folder that is salvaged to is not empty");
+                        })) {
+            Report report =
+                    inspect(
+                            from,
+                            entry -> {
+                                group.add(entry);
+                                if (group.size() == GROUP) {
+                                    failed[0] = write(log, group, failed[0]);
+                                }
+                            });
             failed[0] = write(log, group, failed[0]);
             if (failed[0] != null) {
                 throw failed[0];
--- a/src/main/java/passhatch/store/Reader.java
+++ b/src/main/java/passhatch/store/Reader.java
@@ -9,12 +9,15 @@
 import passhatch.store.Format.Read;
 
 /**
- * Reads all that a folder holds and tells what is good, what was never acknowledged, and what is damaged.
- * Changes nothing. One file is held at a time.
+ * Reads all that a folder holds and tells what is good, what was never acknowledged, and what is
+ * damaged. Changes nothing. One file is held at a time.
  */
 final class Reader {
 
-    /** What is wrong with one place; {@code acknowledged} where it may have been promised to somebody. */
+    /**
+     * What is wrong with one place; {@code acknowledged} where it may have been promised to
+     * somebody.
+     */
     record Fault(String file, long at, String what, boolean acknowledged) {
         String text() {
             return file + ", byte " + at + ": " + what;
@@ -31,10 +34,18 @@
      * @param segments names of those that count, in their order
      * @param cutAt size that the last segment is to be cut down to; -1 where it ends well
      * @param droppable names of files that do not count any more, or never did
-     * @param faults in the order they were found; where one is of what was acknowledged, the rest is not read
+     * @param faults in the order they were found; where one is of what was acknowledged, the rest
+     *     is not read
      */
-    record Found(long last, long epoch, long bytes, String snapshot, List<String> segments, long cutAt,
-            List<String> droppable, List<Fault> faults) { }
+    record Found(
+            long last,
+            long epoch,
+            long bytes,
+            String snapshot,
+            List<String> segments,
+            long cutAt,
+            List<String> droppable,
+            List<Fault> faults) {}
 
     private final Disk disk;
     private final String owner;
@@ -90,8 +101,11 @@
     }
 
     private static List<String> sorted(List<String> names, boolean ofSnapshot) {
-        return new ArrayList<>(names.stream().filter(n -> Format.number(n, ofSnapshot) >= 0)
-                .sorted(Comparator.comparingLong(n -> Format.number(n, ofSnapshot))).toList());
+        return new ArrayList<>(
+                names.stream()
+                        .filter(n -> Format.number(n, ofSnapshot) >= 0)
+                        .sorted(Comparator.comparingLong(n -> Format.number(n, ofSnapshot)))
+                        .toList());
     }
 
     private void fault(String file, long at, String what, boolean acknowledged) {
@@ -106,13 +120,17 @@
             return null;
         }
         if (head.version() > Format.VERSION) {
-            throw new StoreException.Foreign(file + " has format version " + head.version()
-                    + ", and this program "
-                    + "knows versions up to " + Format.VERSION);
+            throw new StoreException.Foreign(
+                    file
+                            + " has format version "
+                            + head.version()
+                            + ", and this program "
+                            + "knows versions up to "
+                            + Format.VERSION);
         }
         if (owner != null && !head.owner().equals(owner)) {
-            throw new StoreException.Foreign(file + " belongs to '" + head.owner() + "', not to '" + owner
-                    + "'");
+            throw new StoreException.Foreign(
+                    file + " belongs to '" + head.owner() + "', not to '" + owner + "'");
         }
         epoch = Math.max(epoch, head.epoch());
         return head;
@@ -167,7 +185,14 @@
                 return true;
             }
         } else if (head.first() > last + 1) {
-            fault(file, 0, "records " + (last + 1) + " to " + (head.first() - 1) + " before it are missing",
+            fault(
+                    file,
+                    0,
+                    "records "
+                            + (last + 1)
+                            + " to "
+                            + (head.first() - 1)
+                            + " before it are missing",
                     true);
             if (!salvage) {
                 return true;
@@ -184,12 +209,19 @@
         int at = Format.HEAD_BYTES;
         while (at < content.length) {
             Read r = Format.read(content, at);
-            boolean good = r != null
-                    && (r.kind() == Format.MARK ? r.sequence() < expected : r.sequence() == expected);
+            boolean good =
+                    r != null
+                            && (r.kind() == Format.MARK
+                                    ? r.sequence() < expected
+                                    : r.sequence() == expected);
             if (!good) {
                 Read next = vouched(content, at, expected);
                 if (isLast && next == null) {
-                    fault(file, at, "the last records were not whole and never acknowledged", false);
+                    fault(
+                            file,
+                            at,
+                            "the last records were not whole and never acknowledged",
+                            false);
                     cutAt = at;
                     return;
                 }
@@ -215,13 +247,17 @@
     }
 
     /**
-     * A mark at a place or behind it that says that the record there was forced; null where there is none.
+     * A mark at a place or behind it that says that the record there was forced; null where there
+     * is none.
      */
     private static Read vouched(byte[] content, int from, long expected) {
         for (int at = from; at <= content.length - Format.RECORD_HEAD; at++) {
             // A mark is empty: all else is passed over without a sum over what it would hold.
-            boolean empty = content[at] == 0 && content[at + 1] == 0 && content[at + 2] == 0
-                    && content[at + 3] == 0;
+            boolean empty =
+                    content[at] == 0
+                            && content[at + 1] == 0
+                            && content[at + 2] == 0
+                            && content[at + 3] == 0;
             Read r = empty ? Format.read(content, at) : null;
             if (r != null && r.kind() == Format.MARK && r.sequence() >= expected) {
                 return r;
@@ -234,7 +270,9 @@
     private static Read nextGood(byte[] content, int from, long expected) {
         for (int at = from; at <= content.length - Format.RECORD_HEAD; at++) {
             Read r = Format.read(content, at);
-            if (r != null && r.sequence() >= expected && r.sequence() - expected <= Format.MOST_SEGMENT) {
+            if (r != null
+                    && r.sequence() >= expected
+                    && r.sequence() - expected <= Format.MOST_SEGMENT) {
                 return r;
             }
         }
--- a/src/main/java/passhatch/store/RecordLog.java
+++ b/src/main/java/passhatch/store/RecordLog.java
@@ -7,20 +7,22 @@
 import java.util.function.Consumer;
 
 /**
- * A log of records that survive a power loss once they are acknowledged, with snapshots that stand for all
- * before them. For one thread; {@link GroupCommit} shares it. Recovery and its rules are in {@code
- * docs/recovery.md}.
+ * A log of records that survive a power loss once they are acknowledged, with snapshots that stand
+ * for all before them. For one thread; {@link GroupCommit} shares it. Recovery and its rules are in
+ * {@code docs/recovery.md}.
  *
- * <p>After each force a mark follows that vouches for the records before it, so that a last record which
- * rotted is told from one that was never whole (the difficulty is described by Alagappan et al.,
- * "Protocol-Aware Recovery for Consensus-Based Storage", FAST 2018).
+ * <p>After each force a mark follows that vouches for the records before it, so that a last record
+ * which rotted is told from one that was never whole (the difficulty is described by Alagappan et
+ * al., "Protocol-Aware Recovery for Consensus-Based Storage", FAST 2018).
  */
 public final class RecordLog implements AutoCloseable {
 
     /** So many bytes after the snapshot are worth a new one. */
     private static final long WORTH_A_SNAPSHOT = 1L << 20;
+
     /** A segment without records: its head and the first mark. */
     private static final int EMPTY_SEGMENT = Format.HEAD_BYTES + Format.RECORD_HEAD;
+
     /** What the files of a damaged store are called once it was set aside. */
     private static final String ASIDE = "damaged-";
 
@@ -45,15 +47,18 @@
     }
 
     /**
-     * Opens the store of an owner; the folder may be empty. The new epoch is on disk before this returns.
+     * Opens the store of an owner; the folder may be empty. The new epoch is on disk before this
+     * returns.
      *
      * @param owner at most 64 bytes in UTF-8
      * @param replay hears the state: each record of the snapshot, and each after it, in order
-     * @throws StoreException.Damaged where something that was acknowledged does not check; nothing is changed
+     * @throws StoreException.Damaged where something that was acknowledged does not check; nothing
+     *     is changed
      * @throws StoreException.Foreign where the folder is another owner's or a newer program's
      * @throws StoreException.Failed where the disk does
      */
-    public static RecordLog open(Disk disk, String owner, Consumer<Entry> replay) throws StoreException {
+    public static RecordLog open(Disk disk, String owner, Consumer<Entry> replay)
+            throws StoreException {
         try {
             Reader.Found found = new Reader(disk, owner, false, replay).read();
             List<String> notes = new ArrayList<>();
@@ -70,7 +75,8 @@
             log.begin(found);
             return log;
         } catch (IOException failed) {
-            throw new StoreException.Failed("the store cannot be opened: " + failed.getMessage(), failed);
+            throw new StoreException.Failed(
+                    "the store cannot be opened: " + failed.getMessage(), failed);
         }
     }
 
@@ -94,8 +100,8 @@
                 }
                 disk.forceFolder();
             } catch (IOException failed) {
-                throw new StoreException.Failed("the store cannot be set aside: " + failed.getMessage(),
-                        failed);
+                throw new StoreException.Failed(
+                        "the store cannot be set aside: " + failed.getMessage(), failed);
             }
             RecordLog log = open(disk, owner, replay);
             log.notes.add("it was damaged and is set aside: " + damaged.getMessage());
@@ -109,7 +115,8 @@
             if (found.cutAt() >= 0) {
                 disk.truncate(tail, found.cutAt());
             }
-            // Its last mark may not be there for sure yet, and no torn end may stand before another segment.
+            // Its last mark may not be there for sure yet, and no torn end may stand before another
+            // segment.
             disk.force(tail);
         }
         allBytes = found.bytes();
@@ -123,7 +130,8 @@
         }
         String reused = Format.segment(last + 1);
         if (old.remove(reused)) {
-            // The one before this holds no record: its number is needed, and its epoch is below the new one.
+            // The one before this holds no record: its number is needed, and its epoch is below the
+            // new one.
             disk.replace(reused, firstBytes());
             disk.append(reused, mark());
             segment = reused;
@@ -186,9 +194,10 @@
      * Writes records and returns once they are acknowledged: all of them are on disk for sure.
      *
      * @return the number of the last one
-     * @throws StoreException.TooLarge where a record or the whole would be over its bound; none is written
-     * @throws StoreException.Failed where the disk failed, now or before; whether they are there shows once
-     *     the store was opened again
+     * @throws StoreException.TooLarge where a record or the whole would be over its bound; none is
+     *     written
+     * @throws StoreException.Failed where the disk failed, now or before; whether they are there
+     *     shows once the store was opened again
      */
     public long append(List<Entry> entries) throws StoreException {
         check();
@@ -197,12 +206,15 @@
             size += checkedSize(e);
         }
         if (allBytes + size > Format.MOST_ALL) {
-            throw new StoreException.TooLarge("the store would hold over " + Format.MOST_ALL + " bytes");
+            throw new StoreException.TooLarge(
+                    "the store would hold over " + Format.MOST_ALL + " bytes");
         }
         if (size > Format.MOST_SEGMENT - EMPTY_SEGMENT) {
-            throw new StoreException.TooLarge(entries.size() + " records at a time are over "
-                    + Format.MOST_SEGMENT
-                    + " bytes");
+            throw new StoreException.TooLarge(
+                    entries.size()
+                            + " records at a time are over "
+                            + Format.MOST_SEGMENT
+                            + " bytes");
         }
         try {
             if (segmentBytes + size > Format.MOST_SEGMENT) {
@@ -238,9 +250,11 @@
             size += checkedSize(e);
         }
         if (size > Format.MOST_ALL / 2) {
-            throw new StoreException.TooLarge("a snapshot of " + size
-                    + " bytes; at most half of what the store may "
-                    + "hold is allowed");
+            throw new StoreException.TooLarge(
+                    "a snapshot of "
+                            + size
+                            + " bytes; at most half of what the store may "
+                            + "hold is allowed");
         }
         ByteBuffer out = ByteBuffer.allocate((int) size);
         out.put(Format.head(new Format.Head(true, Format.VERSION, owner, epoch, last)));
@@ -271,11 +285,16 @@
     /** Bytes that a record takes, if it is one that may be written. */
     private static int checkedSize(Entry e) throws StoreException.TooLarge {
         if (e.bytes().length > Format.MOST_RECORD) {
-            throw new StoreException.TooLarge("a record of " + e.bytes().length + " bytes; at most "
-                    + Format.MOST_RECORD + " are allowed");
+            throw new StoreException.TooLarge(
+                    "a record of "
+                            + e.bytes().length
+                            + " bytes; at most "
+                            + Format.MOST_RECORD
+                            + " are allowed");
         }
         if (e.kind() <= Format.MARK || e.kind() > Entry.MOST_KIND) {
-            throw new IllegalArgumentException("kind " + e.kind() + " is not from 1 to " + Entry.MOST_KIND);
+            throw new IllegalArgumentException(
+                    "kind " + e.kind() + " is not from 1 to " + Entry.MOST_KIND);
         }
         return Format.size(e.bytes());
     }
@@ -287,9 +306,12 @@
     }
 
     private StoreException.Failed fail(IOException failed) {
-        broken = new StoreException.Failed(
-                "the disk failed, so nothing is acknowledged until the store is opened "
-                + "again: " + failed.getMessage(), failed);
+        broken =
+                new StoreException.Failed(
+                        "the disk failed, so nothing is acknowledged until the store is opened "
+                                + "again: "
+                                + failed.getMessage(),
+                        failed);
         return broken;
     }
 
@@ -299,7 +321,8 @@
         try {
             disk.close();
         } catch (IOException failed) {
-            throw new StoreException.Failed("the store cannot be closed: " + failed.getMessage(), failed);
+            throw new StoreException.Failed(
+                    "the store cannot be closed: " + failed.getMessage(), failed);
         }
     }
 }
--- a/src/main/java/passhatch/store/StoreException.java
+++ b/src/main/java/passhatch/store/StoreException.java
@@ -22,7 +22,10 @@
         }
     }
 
-    /** The disk failed, now or before: nothing more is acknowledged until the store was opened again. */
+    /**
+     * The disk failed, now or before: nothing more is acknowledged until the store was opened
+     * again.
+     */
     public static final class Failed extends StoreException {
         private static final long serialVersionUID = 1L;
 
@@ -49,7 +52,10 @@
         }
     }
 
-    /** A record, or all records together, would be larger than is allowed; the store goes on without it. */
+    /**
+     * A record, or all records together, would be larger than is allowed; the store goes on without
+     * it.
+     */
     public static final class TooLarge extends StoreException {
         private static final long serialVersionUID = 1L;
 
--- a/src/test/java/passhatch/ArchitectureTest.java
+++ b/src/test/java/passhatch/ArchitectureTest.java
@@ -1,7 +1,7 @@
 package passhatch;
 
-import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
@@ -11,61 +11,108 @@
 /** Dependencies between the packages point downwards only. */
 final class ArchitectureTest {
 
-    private static final JavaClasses PRODUCT = new ClassFileImporter()
-            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("passhatch");
+    private static final JavaClasses PRODUCT =
+            new ClassFileImporter()
+                    .withImportOption(new ImportOption.DoNotIncludeTests())
+                    .importPackages("passhatch");
 
-    /** The parts of the proxy: what is at the top puts them together, and they know each other downwards. */
+    /**
+     * The parts of the proxy: what is at the top puts them together, and they know each other
+     * downwards.
+     */
     @Test
     void partsOfTheProxyPointDownwards() {
-        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("passhatch.proxy..")
-                .layer("composition").definedBy("passhatch.proxy")
-                .layer("client").definedBy("passhatch.proxy.client..")
-                .layer("backend").definedBy("passhatch.proxy.backend..")
-                .layer("discovery").definedBy("passhatch.proxy.discovery..")
-                .layer("control").definedBy("passhatch.proxy.control..")
-                .layer("flow").definedBy("passhatch.proxy.flow..")
-                .layer("base").definedBy("passhatch.proxy.base..")
-                .whereLayer("composition").mayNotBeAccessedByAnyLayer()
-                .whereLayer("client").mayOnlyBeAccessedByLayers("composition")
-                .whereLayer("backend").mayOnlyBeAccessedByLayers("composition")
-                .whereLayer("discovery").mayOnlyBeAccessedByLayers("composition")
-                .whereLayer("control").mayOnlyBeAccessedByLayers("composition")
-                .whereLayer("flow").mayOnlyBeAccessedByLayers("composition", "client", "backend")
+        layeredArchitecture()
+                .consideringOnlyDependenciesInAnyPackage("passhatch.proxy..")
+                .layer("composition")
+                .definedBy("passhatch.proxy")
+                .layer("client")
+                .definedBy("passhatch.proxy.client..")
+                .layer("backend")
+                .definedBy("passhatch.proxy.backend..")
+                .layer("discovery")
+                .definedBy("passhatch.proxy.discovery..")
+                .layer("control")
+                .definedBy("passhatch.proxy.control..")
+                .layer("flow")
+                .definedBy("passhatch.proxy.flow..")
+                .layer("base")
+                .definedBy("passhatch.proxy.base..")
+                .whereLayer("composition")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("client")
+                .mayOnlyBeAccessedByLayers("composition")
+                .whereLayer("backend")
+                .mayOnlyBeAccessedByLayers("composition")
+                .whereLayer("discovery")
+                .mayOnlyBeAccessedByLayers("composition")
+                .whereLayer("control")
+                .mayOnlyBeAccessedByLayers("composition")
+                .whereLayer("flow")
+                .mayOnlyBeAccessedByLayers("composition", "client", "backend")
                 .check(PRODUCT);
     }
 
-    /** The fleet's parts stand on each other in one order; parts that do not exist yet are left out. */
+    /**
+     * The fleet's parts stand on each other in one order; parts that do not exist yet are left out.
+     */
     @Test
     void partsOfTheFleetPointDownwards() {
-        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("passhatch..").withOptionalLayers(true)
-                .layer("cli").definedBy("passhatch.cli..")
-                .layer("lab").definedBy("passhatch.lab..")
-                .layer("agent").definedBy("passhatch.agent..")
-                .layer("release").definedBy("passhatch.release..")
-                .layer("duty").definedBy("passhatch.duty..")
-                .layer("fleet").definedBy("passhatch.fleet..")
-                .layer("store").definedBy("passhatch.store..")
-                .layer("proxy").definedBy("passhatch.proxy..")
-                .layer("adapter").definedBy("passhatch.adapter..")
-                .layer("module").definedBy("passhatch")
-                .whereLayer("lab").mayNotBeAccessedByAnyLayer()
-                .whereLayer("cli").mayOnlyBeAccessedByLayers("lab")
-                .whereLayer("agent").mayOnlyBeAccessedByLayers("cli", "lab")
-                .whereLayer("release").mayOnlyBeAccessedByLayers("cli", "lab", "agent")
-                .whereLayer("duty").mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release")
-                .whereLayer("fleet").mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release", "duty")
-                .whereLayer("store").mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release", "duty",
-                        "fleet", "proxy")
-                .whereLayer("proxy").mayOnlyBeAccessedByLayers("cli", "lab", "agent")
-                .whereLayer("adapter").mayOnlyBeAccessedByLayers("cli")
+        layeredArchitecture()
+                .consideringOnlyDependenciesInAnyPackage("passhatch..")
+                .withOptionalLayers(true)
+                .layer("cli")
+                .definedBy("passhatch.cli..")
+                .layer("lab")
+                .definedBy("passhatch.lab..")
+                .layer("agent")
+                .definedBy("passhatch.agent..")
+                .layer("release")
+                .definedBy("passhatch.release..")
+                .layer("duty")
+                .definedBy("passhatch.duty..")
+                .layer("fleet")
+                .definedBy("passhatch.fleet..")
+                .layer("store")
+                .definedBy("passhatch.store..")
+                .layer("proxy")
+                .definedBy("passhatch.proxy..")
+                .layer("adapter")
+                .definedBy("passhatch.adapter..")
+                .layer("module")
+                .definedBy("passhatch")
+                .whereLayer("lab")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("cli")
+                .mayOnlyBeAccessedByLayers("lab")
+                .whereLayer("agent")
+                .mayOnlyBeAccessedByLayers("cli", "lab")
+                .whereLayer("release")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent")
+                .whereLayer("duty")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release")
+                .whereLayer("fleet")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release", "duty")
+                .whereLayer("store")
+                .mayOnlyBeAccessedByLayers(
+                        "cli", "lab", "agent", "release", "duty", "fleet", "proxy")
+                .whereLayer("proxy")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent")
+                .whereLayer("adapter")
+                .mayOnlyBeAccessedByLayers("cli")
                 .check(PRODUCT);
     }
 
     /** The module decides alone: no sockets, files or other parts of the program. */
     @Test
     void theModuleStandsOnNothing() {
-        noClasses().that().resideInAPackage("passhatch").should().dependOnClassesThat()
-                .resideInAnyPackage("passhatch.*..", "io.netty..", "java.net..", "java.nio..", "java.io..")
+        noClasses()
+                .that()
+                .resideInAPackage("passhatch")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "passhatch.*..", "io.netty..", "java.net..", "java.nio..", "java.io..")
                 .check(PRODUCT);
     }
 }
