--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -42,8 +42,7 @@
 @Timeout(60)
 final class ProxyServerTest {
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
     private Rig rig;
 
     @BeforeEach
@@ -64,14 +63,27 @@
     void passesRequestAndBodyOnUnchanged() throws Exception {
         byte[] body = new byte[60_000];
         new Random(5).nextBytes(body);
-        ScriptedServer backend = rig.backend((connection, request) -> {
-            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + request.body().length + "\r\n\r\n");
-            connection.write(request.body());
-        });
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) -> {
+                            connection.write(
+                                    "HTTP/1.1 200 OK\r\nContent-Length: "
+                                            + request.body().length
+                                            + "\r\n\r\n");
+                            connection.write(request.body());
+                        });
         rig.start(up("s", backend));
         Http client = rig.client();
-        client.write("POST /buy/3?q=%20a HTTP/1.1\r\nHost: p\r\nX-Request-Id: r1\r\nIdempotency-Key: k9\r\n"
-                + "X-Tenant: acme\r\nX-Deadline: 8000m\r\nContent-Length: " + body.length + "\r\n\r\n");
+        client.write(
+                "POST /buy/3?q=%20a HTTP/1.1\r\n"
+                        + "Host: p\r\n"
+                        + "X-Request-Id: r1\r\n"
+                        + "Idempotency-Key: k9\r\n"
+                        + "X-Tenant: acme\r\n"
+                        + "X-Deadline: 8000m\r\n"
+                        + "Content-Length: "
+                        + body.length
+                        + "\r\n\r\n");
         client.write(body);
         Message answer = client.read();
         assertEquals(200, answer.status());
@@ -88,8 +100,11 @@
     @Test
     void isReadyOnlyOnceTheListIsIn() throws Exception {
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
-        ProxyServer proxy = ProxyServer.start(ProxyConfig.read(rig.environment()), new EventLog(System.err),
-                passhatch.Logic::new);
+        ProxyServer proxy =
+                ProxyServer.start(
+                        ProxyConfig.read(rig.environment()),
+                        new EventLog(System.err),
+                        passhatch.Logic::new);
         try (Http client = Http.to(proxy.address())) {
             client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
             assertEquals(503, client.read().status());
@@ -100,13 +115,24 @@
         }
     }
 
-    /** Where nothing has changed since the list that is remembered, a watch begins with an empty line. */
-    /** Discovery does not answer: a process that was given a list serves by that, though not at once. */
+    /**
+     * Where nothing has changed since the list that is remembered, a watch begins with an empty
+     * line.
+     */
+    /**
+     * Discovery does not answer: a process that was given a list serves by that, though not at
+     * once.
+     */
     @Test
     void isReadyByTheListItWasGivenWhereDiscoveryDoesNotAnswer() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "known"));
-        ProxyServer proxy = ProxyServer.start(ProxyConfig.read(rig.known(Rig.list(7, true,
-                up("s", backend))).environment()), new EventLog(System.err), passhatch.Logic::new);
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "known"));
+        ProxyServer proxy =
+                ProxyServer.start(
+                        ProxyConfig.read(
+                                rig.known(Rig.list(7, true, up("s", backend))).environment()),
+                        new EventLog(System.err),
+                        passhatch.Logic::new);
         try (Http client = Http.to(proxy.address())) {
             client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
             assertEquals(503, client.read().status());
@@ -121,8 +147,11 @@
     @Test
     void isReadyWhereNothingHasChanged() throws Exception {
         rig.lines.add("");
-        ProxyServer proxy = ProxyServer.start(ProxyConfig.read(rig.environment()), new EventLog(System.err),
-                passhatch.Logic::new);
+        ProxyServer proxy =
+                ProxyServer.start(
+                        ProxyConfig.read(rig.environment()),
+                        new EventLog(System.err),
+                        passhatch.Logic::new);
         try {
             Rig.awaitReady(proxy.address());
         } finally {
@@ -130,11 +159,15 @@
         }
     }
 
-    /** The old watch stays open and says nothing more: what drains meanwhile is heard on another. */
+    /**
+     * The old watch stays open and says nothing more: what drains meanwhile is heard on another.
+     */
     @Test
     void aWatchThatStallsIsGivenUpAndTheLastListServesMeanwhile() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
-        ScriptedServer next = rig.backend((connection, request) -> connection.answer("200 OK", "next"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer next =
+                rig.backend((connection, request) -> connection.answer("200 OK", "next"));
         rig.start(up("s", backend));
         rig.discovery().next();
         long start = System.nanoTime();
@@ -147,7 +180,12 @@
         String text = "x";
         for (int i = 0; !text.equals("next"); i++) {
             // The stalled watch may still take one of them.
-            rig.lines.add(Rig.list(9, false, Rig.entry("s", backend.address(), "DRAINING"), up("t", next)));
+            rig.lines.add(
+                    Rig.list(
+                            9,
+                            false,
+                            Rig.entry("s", backend.address(), "DRAINING"),
+                            up("t", next)));
             text = rig.call(Rig.get("s" + i, "")).text();
             Thread.sleep(5);
         }
@@ -169,32 +207,46 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', textBlock = """
-            404 | GET /nothing HTTP/1.1           | X-Deadline: 800m
-            404 | GET / HTTP/1.1                  | X-Deadline: 800m
-            400 | POST /board HTTP/1.1            | X-Deadline: 800m
-            400 | POST /buy HTTP/1.1              | X-Deadline: 800m
-            400 | GET /board HTTP/1.1             | X-Deadline: soon
-            400 | GET /board HTTP/1.1             | X-Deadline: 800
-            400 | GET /board HTTP/1.1             | X-Deadline: -5m
-            400 | GET /board HTTP/1.1             | X-Tenant: nobody
-            413 | POST /move HTTP/1.1             | Content-Length: 33554433
-            """)
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    404 | GET /nothing HTTP/1.1           | X-Deadline: 800m
+                    404 | GET / HTTP/1.1                  | X-Deadline: 800m
+                    400 | POST /board HTTP/1.1            | X-Deadline: 800m
+                    400 | POST /buy HTTP/1.1              | X-Deadline: 800m
+                    400 | GET /board HTTP/1.1             | X-Deadline: soon
+                    400 | GET /board HTTP/1.1             | X-Deadline: 800
+                    400 | GET /board HTTP/1.1             | X-Deadline: -5m
+                    400 | GET /board HTTP/1.1             | X-Tenant: nobody
+                    413 | POST /move HTTP/1.1             | Content-Length: 33554433
+                    """)
     void turnsMalformedRequestsDownAndSendsNothing(int status, String start, String header)
             throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", ""));
         rig.start(up("s", backend));
-        assertEquals(status, rig.call(start + "\r\nHost: p\r\nX-Request-Id: bad\r\n" + header + "\r\n\r\n")
-                .status());
+        assertEquals(
+                status,
+                rig.call(start + "\r\nHost: p\r\nX-Request-Id: bad\r\n" + header + "\r\n\r\n")
+                        .status());
         assertEquals(200, rig.call(Rig.get("good", "")).status());
         assertEquals("good", backend.next().header("X-Request-Id"));
         assertTrue(backend.received.isEmpty());
     }
 
-    /** Such peers filled the table of connections, and clients that were idle for a moment lost theirs. */
+    /**
+     * Such peers filled the table of connections, and clients that were idle for a moment lost
+     * theirs.
+     */
     @ParameterizedTest
-    @ValueSource(strings = {"", "GET /board", "POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n"
-            + "Content-Length: 9\r\n\r\nhalf"})
+    @ValueSource(
+            strings = {
+                "",
+                "GET /board",
+                "POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n"
+                        + "Content-Length: 9\r\n\r\nhalf"
+            })
     void aPeerThatSendsNoWholeRequestIsLetGoWithinThreeSeconds(String part) throws Exception {
         rig.start();
         long start = System.nanoTime();
@@ -206,7 +258,8 @@
 
     @Test
     void peersThatSendNothingDoNotPushAClientOut() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "x"));
         rig.start(up("s", backend));
         Http client = rig.client();
         client.write(Rig.get("a", ""));
@@ -222,7 +275,8 @@
     /** Each of them would hold a descriptor that another needs. */
     @Test
     void inACrowdNoClientIsKeptForANextRequest() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "x"));
         rig.start(up("s", backend));
         Http client = rig.client();
         client.write(Rig.get("a", ""));
@@ -239,7 +293,8 @@
     /** Slow clients write a head for 2 s: silence counts, not age, when one has to go. */
     @Test
     void aSlowHeadStaysWhileThousandsComeAndSayNothing() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "x"));
         rig.start(up("s", backend));
         Http slow = rig.client();
         String head = Rig.get("slow", "");
@@ -257,12 +312,14 @@
 
     @Test
     void aClientThatIsIdleOrWaitsForItsAnswerIsNotLetGo() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> {
-            if (request.header("X-Request-Id").equals("long")) {
-                Thread.sleep(3_000);
-            }
-            connection.answer("200 OK", "late");
-        });
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) -> {
+                            if (request.header("X-Request-Id").equals("long")) {
+                                Thread.sleep(3_000);
+                            }
+                            connection.answer("200 OK", "late");
+                        });
         rig.start(up("s", backend));
         Http client = rig.client();
         client.write(Rig.get("long", ""));
@@ -288,7 +345,11 @@
     void aBodyThatIsTooLargeIsTurnedDownAtItsAnnouncement() throws Exception {
         rig.start();
         Http peer = rig.client();
-        peer.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\nContent-Length: 60000000\r\n\r\n");
+        peer.write(
+                "POST /move HTTP/1.1\r\n"
+                        + "Host: p\r\n"
+                        + "X-Request-Id: r\r\n"
+                        + "Content-Length: 60000000\r\n\r\n");
         assertEquals(413, peer.read().status());
         assertNull(peer.read());
     }
@@ -305,8 +366,10 @@
 
     @Test
     void answersPipelinedRequestsInOrder() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK",
-                request.header("X-Request-Id")));
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) ->
+                                connection.answer("200 OK", request.header("X-Request-Id")));
         rig.start(up("s", backend));
         Http client = rig.client();
         StringBuilder all = new StringBuilder();
@@ -321,20 +384,23 @@
 
     @Test
     void answersBeforeTheDeadlineOnceAndGivesTheAttemptUp() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> {
-            if (request.header("X-Request-Id").equals("slow")) {
-                connection.socket.getInputStream().read();
-            } else {
-                connection.answer("200 OK", "quick");
-            }
-        });
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) -> {
+                            if (request.header("X-Request-Id").equals("slow")) {
+                                connection.socket.getInputStream().read();
+                            } else {
+                                connection.answer("200 OK", "quick");
+                            }
+                        });
         rig.start(up("s", backend));
         Http client = rig.client();
         long start = System.nanoTime();
         client.write(Rig.post("/move", "slow", "X-Deadline: 1500m\r\n"));
         Message answer = client.read();
         assertTrue((System.nanoTime() - start) / 1_000_000 < 1500);
-        assertEquals(502, answer.status(), "an unsafe request that may have run is failed, not refused");
+        assertEquals(
+                502, answer.status(), "an unsafe request that may have run is failed, not refused");
         backend.awaitEnded();
         client.write(Rig.get("next", ""));
         assertEquals("quick", client.read().text(), "nothing more was written for the first");
@@ -343,43 +409,61 @@
     @Test
     void answersItselfJustInTimeWhereTheModuleDoesNot() throws Exception {
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (args[args.length - 1] instanceof Balancer.Request r && r.id().equals("sent")) {
-                actions.send(r.id(), "s", 0);
-            }
-        })).start(up("s", backend));
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (args[args.length - 1] instanceof Balancer.Request r
+                                                    && r.id().equals("sent")) {
+                                                actions.send(r.id(), "s", 0);
+                                            }
+                                        }))
+                .start(up("s", backend));
         long start = System.nanoTime();
         assertEquals(502, rig.call(Rig.post("/move", "sent", "X-Deadline: 900m\r\n")).status());
         assertTrue((System.nanoTime() - start) / 1_000_000 < 900);
-        assertEquals(503, rig.call(Rig.post("/move/held", "held", "X-Deadline: 300m\r\n")).status());
+        assertEquals(
+                503, rig.call(Rig.post("/move/held", "held", "X-Deadline: 300m\r\n")).status());
     }
 
     /** A decision module of the test's own. */
     static Balancer module(BiConsumer<String, Object[]> told) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (self, method, args) -> {
-                    told.accept(method.getName(), args);
-                    return null;
-                });
+        return (Balancer)
+                Proxy.newProxyInstance(
+                        Balancer.class.getClassLoader(),
+                        new Class<?>[] {Balancer.class},
+                        (self, method, args) -> {
+                            told.accept(method.getName(), args);
+                            return null;
+                        });
     }
 
-    /** After a hold-up of 0.9 s one more would make an answer too late by more than its client bears. */
+    /**
+     * After a hold-up of 0.9 s one more would make an answer too late by more than its client
+     * bears.
+     */
     @Test
     void requestsAfterALongHoldUpAreDueSooner() throws Exception {
         BlockingQueue<Long> left = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (args[args.length - 1] instanceof Balancer.Request r) {
-                if (r.id().equals("held")) {
-                    LockSupport.parkNanos(900_000_000);
-                }
-                left.add(r.timeLeftUs());
-                actions.refuse(r.id(), 0);
-            }
-        })).start();
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (args[args.length - 1]
+                                                    instanceof Balancer.Request r) {
+                                                if (r.id().equals("held")) {
+                                                    LockSupport.parkNanos(900_000_000);
+                                                }
+                                                left.add(r.timeLeftUs());
+                                                actions.refuse(r.id(), 0);
+                                            }
+                                        }))
+                .start();
         String four = "X-Deadline: 4000m\r\n";
         rig.call(Rig.get("before", four));
         rig.call(Rig.get("held", four));
-        // Until some beats have passed the request may have stood unread for as long: another matter.
+        // Until some beats have passed the request may have stood unread for as long: another
+        // matter.
         Thread.sleep(200);
         rig.call(Rig.get("after", four));
         assertTrue(left.take() > 3_800_000, "no hold-up was seen yet");
@@ -393,12 +477,17 @@
     @CsvSource({"8, 6000", "60, 50000", "400, 370000"})
     void leavesMostOfItsTimeToARequest(int deadlineMs, long leastUs) throws Exception {
         BlockingQueue<Long> left = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (args[args.length - 1] instanceof Balancer.Request r) {
-                left.add(r.timeLeftUs());
-                actions.refuse(r.id(), 0);
-            }
-        })).start();
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (args[args.length - 1]
+                                                    instanceof Balancer.Request r) {
+                                                left.add(r.timeLeftUs());
+                                                actions.refuse(r.id(), 0);
+                                            }
+                                        }))
+                .start();
         // A hold-up of this test's own machine takes of one request's time, and not of each.
         long most = 0;
         for (int i = 0; i < 50 && most < leastUs; i++) {
@@ -414,17 +503,22 @@
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
         CountDownLatch heldUp = new CountDownLatch(1);
         BlockingQueue<Long> left = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (args[args.length - 1] instanceof Balancer.Request r) {
-                if (r.id().equals("first")) {
-                    heldUp.countDown();
-                    LockSupport.parkNanos(400_000_000);
-                } else {
-                    left.add(r.timeLeftUs());
-                }
-                actions.refuse(r.id(), 0);
-            }
-        })).start(up("s", backend));
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (args[args.length - 1]
+                                                    instanceof Balancer.Request r) {
+                                                if (r.id().equals("first")) {
+                                                    heldUp.countDown();
+                                                    LockSupport.parkNanos(400_000_000);
+                                                } else {
+                                                    left.add(r.timeLeftUs());
+                                                }
+                                                actions.refuse(r.id(), 0);
+                                            }
+                                        }))
+                .start(up("s", backend));
         Http first = rig.client();
         Http second = rig.client();
         first.write(Rig.get("first", ""));
@@ -436,8 +530,13 @@
 
     @Test
     void refusesWithRetryAfterWhereNothingRan() throws Exception {
-        ScriptedServer full = rig.backend((connection, request) -> connection.write(
-                "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+        ScriptedServer full =
+                rig.backend(
+                        (connection, request) ->
+                                connection.write(
+                                        "HTTP/1.1 503 Busy\r\n"
+                                                + "X-Not-Run: 1\r\n"
+                                                + "Content-Length: 0\r\n\r\n"));
         rig.aimUs(300_000).start(up("s", full));
         Message answer = rig.call(Rig.post("/move", "r", "X-Deadline: 9000m\r\n"));
         assertEquals(503, answer.status());
@@ -456,11 +555,13 @@
 
     @Test
     void unsafeIsSentElsewhereWhereItDidNotRun() throws Exception {
-        ScriptedServer.Script once = (connection, request) -> {
-            if (request.header("X-Request-Id").equals("r")) {
-                connection.write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
-            }
-        };
+        ScriptedServer.Script once =
+                (connection, request) -> {
+                    if (request.header("X-Request-Id").equals("r")) {
+                        connection.write(
+                                "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                    }
+                };
         ScriptedServer good = ScriptedServer.saying("done");
         ScriptedServer full = rig.backend(once);
         try (good) {
@@ -480,31 +581,42 @@
         BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
         try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             InetSocketAddress at = (InetSocketAddress) late.getLocalSocketAddress();
-            rig.windowUs(300_000).module((settings, seed, actions) -> module((method, args) -> {
-                if (method.equals("request")) {
-                    actions.send(((Balancer.Request) args[1]).id(), "first", 0);
-                } else if (method.equals("outcome")) {
-                    outcomes.add((Outcome) args[4]);
-                    if (args[4] == Outcome.RESET) {
-                        actions.send((String) args[1], "late", 0);
-                    } else {
-                        actions.fail((String) args[1]);
-                    }
-                }
-            })).start(up("first", first), Rig.entry("late", at, "SERVING"));
+            rig.windowUs(300_000)
+                    .module(
+                            (settings, seed, actions) ->
+                                    module(
+                                            (method, args) -> {
+                                                if (method.equals("request")) {
+                                                    actions.send(
+                                                            ((Balancer.Request) args[1]).id(),
+                                                            "first",
+                                                            0);
+                                                } else if (method.equals("outcome")) {
+                                                    outcomes.add((Outcome) args[4]);
+                                                    if (args[4] == Outcome.RESET) {
+                                                        actions.send((String) args[1], "late", 0);
+                                                    } else {
+                                                        actions.fail((String) args[1]);
+                                                    }
+                                                }
+                                            }))
+                    .start(up("first", first), Rig.entry("late", at, "SERVING"));
             try (Socket a = new Socket(at.getAddress(), at.getPort());
                     Socket b = new Socket(at.getAddress(), at.getPort());
                     Http client = rig.client()) {
                 client.write(Rig.post("/buy/1", "r", "Idempotency-Key: k\r\n"));
                 assertEquals(Outcome.RESET, outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
                 assertTrue(a.isConnected() && b.isConnected());
-                // However late this is, it is after the window; with its queue full nothing comes up before.
+                // However late this is, it is after the window; with its queue full nothing comes
+                // up before.
                 Thread.sleep(400);
                 late.accept().close();
                 late.accept().close();
                 try (Socket repeat = late.accept()) {
                     assertEquals(502, client.read().status());
-                    assertEquals(Outcome.NOT_SENT, outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                    assertEquals(
+                            Outcome.NOT_SENT,
+                            outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
                     assertEquals(0, repeat.getInputStream().available());
                 }
             }
@@ -514,15 +626,19 @@
     /** Whatever the module throws, its request is answered and later ones are decided on. */
     @Test
     void decidesOnAfterAnErrorInTheModule() throws Exception {
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (method.equals("request")) {
-                String id = ((Balancer.Request) args[1]).id();
-                if (id.equals("bad")) {
-                    throw new StackOverflowError("a bug");
-                }
-                actions.refuse(id, 0);
-            }
-        })).start();
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (method.equals("request")) {
+                                                String id = ((Balancer.Request) args[1]).id();
+                                                if (id.equals("bad")) {
+                                                    throw new StackOverflowError("a bug");
+                                                }
+                                                actions.refuse(id, 0);
+                                            }
+                                        }))
+                .start();
         assertEquals(502, rig.call(Rig.get("bad", "X-Deadline: 9000m\r\n")).status());
         assertEquals(503, rig.call(Rig.get("good", "")).status());
         rig.awaitLog("BUG in the decision module");
@@ -531,19 +647,29 @@
     /** The list changes between the send and the moment the connection is up. */
     @Test
     void nothingIsWrittenToABackendThatDrainsWhileConnecting() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", ""));
-        EndpointList drains = EndpointList.of(JSON.std.mapFrom(Rig.list(9, false,
-                Rig.entry("s", backend.address(), "DRAINING"))), List.of("a"), List.of("m"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        EndpointList drains =
+                EndpointList.of(
+                        JSON.std.mapFrom(
+                                Rig.list(9, false, Rig.entry("s", backend.address(), "DRAINING"))),
+                        List.of("a"),
+                        List.of("m"));
         BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
-            if (method.equals("request")) {
-                actions.send(((Balancer.Request) args[1]).id(), "s", 0);
-                ((Discovery.Listener) actions).listed(drains);
-            } else if (method.equals("outcome")) {
-                outcomes.add((Outcome) args[4]);
-                actions.refuse((String) args[1], 0);
-            }
-        })).start(up("s", backend));
+        rig.module(
+                        (settings, seed, actions) ->
+                                module(
+                                        (method, args) -> {
+                                            if (method.equals("request")) {
+                                                actions.send(
+                                                        ((Balancer.Request) args[1]).id(), "s", 0);
+                                                ((Discovery.Listener) actions).listed(drains);
+                                            } else if (method.equals("outcome")) {
+                                                outcomes.add((Outcome) args[4]);
+                                                actions.refuse((String) args[1], 0);
+                                            }
+                                        }))
+                .start(up("s", backend));
         assertEquals(503, rig.call(Rig.post("/move", "r", "")).status());
         assertEquals(Outcome.NOT_SENT, outcomes.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
         assertTrue(backend.received.isEmpty());
@@ -551,16 +677,21 @@
 
     @Test
     void takesABrokenWatchUpFromTheLastIndexAndSkipsBadLines() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.start(up("s", backend));
         assertTrue(rig.discovery().next().start().contains("from=7"));
         rig.lines.add("{\"index\":9,\"snapshot\":true,\"endpoints\":[{\"name\":5}]}");
         rig.lines.add("not json");
         rig.lines.add(Rig.END_OF_WATCH);
-        assertTrue(rig.discovery().next().start().contains("from=8"), "bad lines do not count as heard");
+        assertTrue(
+                rig.discovery().next().start().contains("from=8"),
+                "bad lines do not count as heard");
         assertEquals("s", rig.call(Rig.get("a", "")).text(), "the last list stays");
-        ScriptedServer other = rig.backend((connection, request) -> connection.answer("200 OK", "t"));
-        rig.lines.add(Rig.list(12, false, Rig.entry("s", backend.address(), "DELETED"), up("t", other)));
+        ScriptedServer other =
+                rig.backend((connection, request) -> connection.answer("200 OK", "t"));
+        rig.lines.add(
+                Rig.list(12, false, Rig.entry("s", backend.address(), "DELETED"), up("t", other)));
         rig.lines.add(Rig.END_OF_WATCH);
         assertTrue(rig.discovery().next().start().contains("from=12"));
         assertEquals("t", rig.call(Rig.get("b", "")).text());
@@ -570,13 +701,23 @@
     /** What an older version says of a server was undone since: that it drains stays as it is. */
     @Test
     void changesOfAnOlderVersionUndoNothing() throws Exception {
-        ScriptedServer drains = rig.backend((connection, request) -> connection.answer("200 OK", "drains"));
-        ScriptedServer stays = rig.backend((connection, request) -> connection.answer("200 OK", "stays"));
+        ScriptedServer drains =
+                rig.backend((connection, request) -> connection.answer("200 OK", "drains"));
+        ScriptedServer stays =
+                rig.backend((connection, request) -> connection.answer("200 OK", "stays"));
         rig.start(up("drains", drains));
-        rig.lines.add(Rig.list(12, false, up("stays", stays), Rig.entry("drains", drains.address(),
-                "DRAINING")));
-        rig.lines.add(Rig.list(11, false, up("drains", drains),
-                Rig.entry("stays", stays.address(), "DELETED")));
+        rig.lines.add(
+                Rig.list(
+                        12,
+                        false,
+                        up("stays", stays),
+                        Rig.entry("drains", drains.address(), "DRAINING")));
+        rig.lines.add(
+                Rig.list(
+                        11,
+                        false,
+                        up("drains", drains),
+                        Rig.entry("stays", stays.address(), "DELETED")));
         rig.awaitLog("a list is skipped: its version 11 is older than 12");
         for (int i = 0; i < 4; i++) {
             assertEquals("stays", rig.call(Rig.get("r" + i, "")).text());
@@ -587,17 +728,23 @@
     @ParameterizedTest
     @CsvSource({"a class/ä+%, /a%20class%2F%C3%A4%2B%25/7", "board, /%62oard", "b+c, /b+c/1"})
     void takesAClassWhoseNameComesEscaped(String name, String path) throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "x"));
         rig.safeClass(name).start(up("s", backend));
-        assertEquals(200, rig.call("GET " + path + " HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n\r\n")
-                .status());
+        assertEquals(
+                200,
+                rig.call("GET " + path + " HTTP/1.1\r\nHost: p\r\nX-Request-Id: r\r\n\r\n")
+                        .status());
         assertTrue(backend.next().start().contains(path), "the path goes on as it came");
-        assertEquals(404, rig.call("GET /%zz/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: s\r\n\r\n").status());
+        assertEquals(
+                404,
+                rig.call("GET /%zz/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: s\r\n\r\n").status());
     }
 
     @Test
     void asksAgainInTimeWhereACallGetsNoAnswerAtAll() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.start(up("s", backend));
         rig.discovery().next();
         rig.lines.add(Rig.END_OF_WATCH);
@@ -609,10 +756,13 @@
         assertTrue(ms > 2_500 && ms < 5_000, "asked again after " + ms + " ms");
     }
 
-    /** One that begins and does not end is no list, whatever comes of it: it is asked for once more. */
+    /**
+     * One that begins and does not end is no list, whatever comes of it: it is asked for once more.
+     */
     @Test
     void givesAListUpThatDoesNotEnd() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.start(up("s", backend));
         rig.discovery().next();
         rig.lines.add("{\"index\":9,");
@@ -621,10 +771,13 @@
         assertEquals("s", rig.call(Rig.get("a", "")).text(), "the last list stays");
     }
 
-    /** A start asks discovery once, not twice, as all calls of all proxies wait there in one line. */
+    /**
+     * A start asks discovery once, not twice, as all calls of all proxies wait there in one line.
+     */
     @Test
     void watchesAtOnceFromAKnownListWhoseVersionIsZero() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.known(Rig.list(0, true, up("s", backend))).start(up("s", backend));
         assertEquals("GET /v1/endpoints?watch=1&from=0 HTTP/1.1", rig.discovery().next().start());
         assertEquals("s", rig.call(Rig.get("a", "")).text());
@@ -633,7 +786,8 @@
     /** With nothing known, not even a version, the whole list comes first. */
     @Test
     void fetchesTheWholeListWhereNothingIsKnown() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.known(Rig.list(0, true)).start(up("s", backend));
         assertEquals("GET /v1/endpoints HTTP/1.1", rig.discovery().next().start());
         assertEquals("GET /v1/endpoints?watch=1&from=8 HTTP/1.1", rig.discovery().next().start());
@@ -642,11 +796,14 @@
     /** Lists and changes may come indented, on a watch as in an answer. */
     @Test
     void takesListsThatComeIndented() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
-        ScriptedServer other = rig.backend((connection, request) -> connection.answer("200 OK", "t"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer other =
+                rig.backend((connection, request) -> connection.answer("200 OK", "t"));
         rig.indented().start(up("s", backend));
         assertEquals("s", rig.call(Rig.get("a", "")).text());
-        rig.lines.add(Rig.list(12, false, Rig.entry("s", backend.address(), "DELETED"), up("t", other)));
+        rig.lines.add(
+                Rig.list(12, false, Rig.entry("s", backend.address(), "DELETED"), up("t", other)));
         rig.lines.add(Rig.END_OF_WATCH);
         rig.lines.add(Rig.FORGOTTEN);
         rig.lines.add(Rig.list(40, true, up("t", other)));
@@ -659,10 +816,12 @@
 
     @Test
     void fetchesTheWholeListWhereTheVersionIsForgotten() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", "s"));
         rig.start(up("s", backend));
         assertTrue(rig.discovery().next().start().contains("from=7"));
-        ScriptedServer other = rig.backend((connection, request) -> connection.answer("200 OK", "t"));
+        ScriptedServer other =
+                rig.backend((connection, request) -> connection.answer("200 OK", "t"));
         rig.lines.add(Rig.END_OF_WATCH);
         rig.lines.add(Rig.FORGOTTEN);
         rig.lines.add(Rig.list(40, true, up("t", other)));
@@ -703,11 +862,18 @@
 
     @Test
     void probesAskForTheLoad() throws Exception {
-        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK",
-                request.start().contains("/status/load") ? "TEXT inflight=0, queue=0, util=0.1" : "served"));
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) ->
+                                connection.answer(
+                                        "200 OK",
+                                        request.start().contains("/status/load")
+                                                ? "TEXT inflight=0, queue=0, util=0.1"
+                                                : "served"));
         rig.limit("probes", true).start(up("s", backend));
         assertEquals("served", rig.call(Rig.get("a", "")).text());
-        // A call goes out without the answer to its probe where that is slow, so either may come first.
+        // A call goes out without the answer to its probe where that is slow, so either may come
+        // first.
         Message first = backend.next();
         boolean probeFirst = first.start().contains("/status/load");
         Message probe = probeFirst ? first : backend.next();
@@ -721,7 +887,9 @@
         var env = new java.util.HashMap<>(rig.limit("maxAttempts", "many").environment());
         assertEquals(2, ProxyServer.serve(env, new java.io.PrintStream(err)));
         assertEquals(1, err.toString(StandardCharsets.UTF_8).lines().count(), err.toString());
-        assertTrue(err.toString(StandardCharsets.UTF_8).contains("limits.maxAttempts"), err.toString());
+        assertTrue(
+                err.toString(StandardCharsets.UTF_8).contains("limits.maxAttempts"),
+                err.toString());
         env.remove("PROXY_LISTEN");
         assertEquals(2, ProxyServer.serve(env, new java.io.PrintStream(err)));
         assertTrue(err.toString(StandardCharsets.UTF_8).contains("PROXY_LISTEN is not set"));
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -19,14 +19,14 @@
 @Timeout(60)
 final class RehearsalTest {
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void playsThrough() throws Exception {
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         Rehearsal.run(new PrintStream(log, true, StandardCharsets.UTF_8));
-        assertTrue(log.toString(StandardCharsets.UTF_8).contains("ending with 0 requests unanswered"));
+        assertTrue(
+                log.toString(StandardCharsets.UTF_8).contains("ending with 0 requests unanswered"));
     }
 
     /** The flags that the script hands to java, for a proxy with this much memory. */
@@ -35,8 +35,13 @@
         Files.writeString(java, "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         Path config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n\",\n \"limits\":{\"cores\":1.0,\"memory_mb\": " + memoryMb
-                + ",\"sockets\":9}" + (control.equals("file") ? ",\"control\":\"127.0.0.1:9\"" : "") + "}");
+        Files.writeString(
+                config,
+                "{\"name\":\"n\",\n \"limits\":{\"cores\":1.0,\"memory_mb\": "
+                        + memoryMb
+                        + ",\"sockets\":9}"
+                        + (control.equals("file") ? ",\"control\":\"127.0.0.1:9\"" : "")
+                        + "}");
         Files.createDirectories(folder.resolve("target"));
         if (archive) {
             Files.writeString(folder.resolve("target/passhatch.jsa"), "");
@@ -69,8 +74,15 @@
     @Test
     void theArchiveIsNamedOnlyWhereItIsThere() throws Exception {
         assertFalse(flags(144, "variable", false).contains("SharedArchiveFile"));
-        assertTrue(flags(144, "variable", true).contains(" -XX:SharedArchiveFile=target/passhatch.jsa "));
-        assertEquals(List.of("-jar", "target/passhatch.jar", "serve"),
-                List.of(flags(144, "variable", true).strip().replaceAll(".* (?=-jar)", "").split(" ")));
+        assertTrue(
+                flags(144, "variable", true)
+                        .contains(" -XX:SharedArchiveFile=target/passhatch.jsa "));
+        assertEquals(
+                List.of("-jar", "target/passhatch.jar", "serve"),
+                List.of(
+                        flags(144, "variable", true)
+                                .strip()
+                                .replaceAll(".* (?=-jar)", "")
+                                .split(" ")));
     }
 }
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -20,12 +20,30 @@
 import passhatch.proxy.Http.Message;
 import passhatch.proxy.base.EventLog;
 
-/** A proxy under test with the discovery it watches. Lists of backends are handed in line by line. */
+/**
+ * A proxy under test with the discovery it watches. Lists of backends are handed in line by line.
+ */
 final class Rig implements Closeable {
 
-    private final Map<String, Object> limits = new HashMap<>(Map.of("maxAttempts", 3, "cancel", true,
-            "probes", false, "retryAfter", true, "maxRetryAfterUs", 2_000_000, "maxStreams", 1,
-            "keepaliveUs", 10_000_000, "connectTimeoutUs", 8_000_000));
+    private final Map<String, Object> limits =
+            new HashMap<>(
+                    Map.of(
+                            "maxAttempts",
+                            3,
+                            "cancel",
+                            true,
+                            "probes",
+                            false,
+                            "retryAfter",
+                            true,
+                            "maxRetryAfterUs",
+                            2_000_000,
+                            "maxStreams",
+                            1,
+                            "keepaliveUs",
+                            10_000_000,
+                            "connectTimeoutUs",
+                            8_000_000));
     private final List<Closeable> open = new ArrayList<>();
     final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
@@ -44,34 +62,45 @@
 
     /** What the script puts into {@link #lines} to end a watch. */
     static final String END_OF_WATCH = "end";
+
     /** And to have the next watch turned down, as its version is no longer known. */
     static final String FORGOTTEN = "forgotten";
+
     /** And to have the next watch get no answer at all. */
     static final String UNANSWERED = "unanswered";
 
     Rig(Path folder) throws IOException {
         this.folder = folder;
-        this.discovery = new ScriptedServer((connection, request) -> {
-            if (!request.start().contains("watch=1")) {
-                connection.answer("200 OK", laidOut(lines.take()));
-                return;
-            }
-            if (UNANSWERED.equals(lines.peek())) {
-                lines.take();
-                return;
-            }
-            if (FORGOTTEN.equals(lines.peek())) {
-                lines.take();
-                connection.answer("410 Gone", "");
-                return;
-            }
-            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for (String line = lines.take(); !line.equals(END_OF_WATCH); line = lines.take()) {
-                String text = laidOut(line) + "\n";
-                connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-            }
-            connection.reset();
-        });
+        this.discovery =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            if (!request.start().contains("watch=1")) {
+                                connection.answer("200 OK", laidOut(lines.take()));
+                                return;
+                            }
+                            if (UNANSWERED.equals(lines.peek())) {
+                                lines.take();
+                                return;
+                            }
+                            if (FORGOTTEN.equals(lines.peek())) {
+                                lines.take();
+                                connection.answer("410 Gone", "");
+                                return;
+                            }
+                            connection.write(
+                                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            for (String line = lines.take();
+                                    !line.equals(END_OF_WATCH);
+                                    line = lines.take()) {
+                                String text = laidOut(line) + "\n";
+                                connection.write(
+                                        Integer.toHexString(text.length())
+                                                + "\r\n"
+                                                + text
+                                                + "\r\n");
+                            }
+                            connection.reset();
+                        });
         open.add(discovery);
     }
 
@@ -83,7 +112,8 @@
 
     private String laidOut(String line) throws IOException {
         return indented && line.startsWith("{")
-                ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(JSON.std.mapFrom(line)) : line;
+                ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT).asString(JSON.std.mapFrom(line))
+                : line;
     }
 
     Rig limit(String name, Object value) {
@@ -145,14 +175,23 @@
     }
 
     static String entry(String name, InetSocketAddress address, String status) {
-        return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1:" + address.getPort()
-                + "\",\"zone\":\"a\",\"type\":\"m\",\"group\":0,\"status\":\"" + status
+        return "{\"name\":\""
+                + name
+                + "\",\"address\":\"127.0.0.1:"
+                + address.getPort()
+                + "\",\"zone\":\"a\",\"type\":\"m\",\"group\":0,\"status\":\""
+                + status
                 + "\",\"weight\":1.0,\"since_ms\":0}";
     }
 
     static String list(int index, boolean whole, String... entries) {
-        return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":["
-                + String.join(",", entries) + "]}";
+        return "{\"index\":"
+                + index
+                + ",\"snapshot\":"
+                + whole
+                + ",\"endpoints\":["
+                + String.join(",", entries)
+                + "]}";
     }
 
     /** The list as the proxy last had it; else an empty one of index 7. */
@@ -164,26 +203,79 @@
     /** The environment of a proxy, with its configuration written. */
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
-        Map<String, Object> config = new HashMap<>(Map.of("seed", "00000000000000ff",
-                "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(known), "settings",
-                Map.of("categories", List.of(kind(safe, "pure"), kind("buy", "token"),
-                        kind("move", "side_effect")),
-                        "tenants", List.of(Map.of("name", "acme", "quotaPerS", 0)), "dcs", List.of("a"),
-                        "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
-                        "limits", limits, "rules", Map.of("drainGraceUs", 2_000_000, "coldFrom", 0.4,
-                                "coldUs", 1_000_000, "tipMultiple", 2.5, "overloadForUs", 1_000_000))));
+        Map<String, Object> config =
+                new HashMap<>(
+                        Map.of(
+                                "seed",
+                                "00000000000000ff",
+                                "limits",
+                                Map.of("sockets", sockets),
+                                "known",
+                                JSON.std.mapFrom(known),
+                                "settings",
+                                Map.of(
+                                        "categories",
+                                        List.of(
+                                                kind(safe, "pure"),
+                                                kind("buy", "token"),
+                                                kind("move", "side_effect")),
+                                        "tenants",
+                                        List.of(Map.of("name", "acme", "quotaPerS", 0)),
+                                        "dcs",
+                                        List.of("a"),
+                                        "machineTypes",
+                                        List.of("m"),
+                                        "balancers",
+                                        1,
+                                        "discovery",
+                                        "pushed",
+                                        "limits",
+                                        limits,
+                                        "rules",
+                                        Map.of(
+                                                "drainGraceUs",
+                                                2_000_000,
+                                                "coldFrom",
+                                                0.4,
+                                                "coldUs",
+                                                1_000_000,
+                                                "tipMultiple",
+                                                2.5,
+                                                "overloadForUs",
+                                                1_000_000))));
         if (control != null) {
             config.put("control", control);
         }
         Files.writeString(file, JSON.std.asString(config));
-        return Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY",
-                "127.0.0.1:" + discovery.address().getPort(), "PROXY_CONFIG", file.toString(),
-                "TMPDIR", folder.toString());
+        return Map.of(
+                "PROXY_NAME",
+                "n0",
+                "PROXY_LISTEN",
+                "127.0.0.1:0",
+                "PROXY_DISCOVERY",
+                "127.0.0.1:" + discovery.address().getPort(),
+                "PROXY_CONFIG",
+                file.toString(),
+                "TMPDIR",
+                folder.toString());
     }
 
     private Map<String, Object> kind(String name, String effect) {
-        return Map.of("name", name, "effect", effect, "goalTimeUs", aimUs, "deadlineUs", deadlineUs,
-                "worth", 1, "dedupWindowUs", windowUs, "group", "all");
+        return Map.of(
+                "name",
+                name,
+                "effect",
+                effect,
+                "goalTimeUs",
+                aimUs,
+                "deadlineUs",
+                deadlineUs,
+                "worth",
+                1,
+                "dedupWindowUs",
+                windowUs,
+                "group",
+                "all");
     }
 
     /** Writes the configuration anew, with discovery at another address. */
@@ -199,8 +291,11 @@
     /** Starts the proxy and waits until it has the list. */
     Rig start(String... entries) throws Exception {
         lines.add(list(8, true, entries));
-        proxy = ProxyServer.start(ProxyConfig.read(environment()),
-                new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module);
+        proxy =
+                ProxyServer.start(
+                        ProxyConfig.read(environment()),
+                        new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)),
+                        module);
         awaitReady(proxy.address());
         return this;
     }
@@ -254,12 +349,17 @@
 
     /** One of the figures. */
     long figure(String name) throws IOException {
-        return ask("vars\n").lines().filter(line -> line.startsWith("app_" + name + " "))
-                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1))).findFirst()
+        return ask("vars\n")
+                .lines()
+                .filter(line -> line.startsWith("app_" + name + " "))
+                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1)))
+                .findFirst()
                 .orElseThrow();
     }
 
-    /** Waits until a figure has come to a value, as it may be counted just after the answer is out. */
+    /**
+     * Waits until a figure has come to a value, as it may be counted just after the answer is out.
+     */
     void awaitFigure(String name, long value) throws IOException, InterruptedException {
         long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
         while (figure(name) != value) {
@@ -271,12 +371,21 @@
     }
 
     static String get(String id, String more) {
-        return "GET /board/7?x=1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: " + id + "\r\n" + more + "\r\n";
+        return "GET /board/7?x=1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: "
+                + id
+                + "\r\n"
+                + more
+                + "\r\n";
     }
 
     static String post(String path, String id, String more) {
-        return "POST " + path + " HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\nX-Request-Id: " + id + "\r\n"
-                + more + "\r\n";
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\nX-Request-Id: "
+                + id
+                + "\r\n"
+                + more
+                + "\r\n";
     }
 
     /** Sends one request on a connection of its own and returns the answer. */
@@ -307,7 +416,10 @@
         }
     }
 
-    /** What the proxy still holds after it had time to be done with all; empty where that is nothing. */
+    /**
+     * What the proxy still holds after it had time to be done with all; empty where that is
+     * nothing.
+     */
     String leftOver() {
         long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
         String left = "";
--- a/src/test/java/passhatch/proxy/ScriptedServer.java
+++ b/src/test/java/passhatch/proxy/ScriptedServer.java
@@ -20,14 +20,14 @@
     }
 
     /** Leaves the request without an answer. */
-    public static final Script SILENT = (connection, request) -> { };
+    public static final Script SILENT = (connection, request) -> {};
 
     public final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
     final BlockingQueue<Http> ended = new LinkedBlockingQueue<>();
     public final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket listener;
     private final Script script;
-    private volatile Runnable onHead = () -> { };
+    private volatile Runnable onHead = () -> {};
     private volatile String atHead;
 
     public ScriptedServer(Script script) throws IOException {
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -31,17 +31,18 @@
 @Timeout(60)
 final class SignalTest {
 
-    @TempDir
-    Path folder;
+    @TempDir Path folder;
 
     @Test
     void answersWhatItHoldsAndWhatStillComesAndThenExitsWithZero() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer backend = rig.backend((connection, request) -> {
-                release.await();
-                connection.answer("200 OK", request.header("X-Request-Id"));
-            });
+            ScriptedServer backend =
+                    rig.backend(
+                            (connection, request) -> {
+                                release.await();
+                                connection.answer("200 OK", request.header("X-Request-Id"));
+                            });
             rig.lines.add(Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING")));
             InetSocketAddress address = freeAddress();
             Process process = serve(rig, address);
@@ -57,7 +58,9 @@
                 assertEquals(200, unused.read().status());
                 process.toHandle().destroy();
                 BufferedReader log = process.errorReader(StandardCharsets.UTF_8);
-                for (String line = log.readLine(); !line.contains("shutting down"); line = log.readLine()) {
+                for (String line = log.readLine();
+                        !line.contains("shutting down");
+                        line = log.readLine()) {
                     assertTrue(process.isAlive(), line);
                 }
                 Http late = Http.to(address);
@@ -86,12 +89,14 @@
     void aNewProcessTakesOverWithNoRequestLost() throws Exception {
         try (Rig rig = new Rig(folder).control()) {
             CountDownLatch release = new CountDownLatch(1);
-            ScriptedServer backend = rig.backend((connection, request) -> {
-                if (request.header("X-Request-Id").equals("held")) {
-                    release.await();
-                }
-                connection.answer("200 OK", request.header("X-Request-Id"));
-            });
+            ScriptedServer backend =
+                    rig.backend(
+                            (connection, request) -> {
+                                if (request.header("X-Request-Id").equals("held")) {
+                                    release.await();
+                                }
+                                connection.answer("200 OK", request.header("X-Request-Id"));
+                            });
             String list = Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING"));
             InetSocketAddress address = freeAddress();
             InetSocketAddress firstControl = freeAddress();
@@ -154,7 +159,9 @@
         assertEquals("close", connection);
     }
 
-    /** Any watch may get a list that is handed in, so more are handed in until this process has one. */
+    /**
+     * Any watch may get a list that is handed in, so more are handed in until this process has one.
+     */
     private static void awaitDone(InetSocketAddress control, Rig rig, String list)
             throws InterruptedException, IOException {
         awaitListening(control);
@@ -174,7 +181,8 @@
     void listensNoMoreWhereTheOrderToEndCameBefore() throws Exception {
         try (Rig rig = new Rig(folder).control()) {
             ProxyConfig config = ProxyConfig.read(rig.environment());
-            ProxyServer server = ProxyServer.create(config, new EventLog(System.err), passhatch.Logic::new);
+            ProxyServer server =
+                    ProxyServer.create(config, new EventLog(System.err), passhatch.Logic::new);
             // The process that started this one stands for a newer one that serves.
             newerProcess("passhatch.pid");
             newerProcess("passhatch.ready");
@@ -189,15 +197,20 @@
 
     /** What the process that started this one would leave if it were a newer one that serves. */
     private void newerProcess(String file) throws IOException {
-        Files.writeString(folder.resolve(file),
+        Files.writeString(
+                folder.resolve(file),
                 String.valueOf(ProcessHandle.current().parent().orElseThrow().pid()));
     }
 
-    /** A newer process that has come and is not ready takes nothing over: this one serves as if alone. */
+    /**
+     * A newer process that has come and is not ready takes nothing over: this one serves as if
+     * alone.
+     */
     @Test
     void servesOnAtTheOrderToEndWhereTheNewerProcessIsNotReady() throws Exception {
         try (Rig rig = new Rig(folder).control()) {
-            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            ScriptedServer backend =
+                    rig.backend((connection, request) -> connection.answer("200 OK", "s"));
             rig.start(Rig.entry("s", backend.address(), "SERVING"));
             newerProcess("passhatch.pid");
             Http open = rig.client();
@@ -211,11 +224,15 @@
         }
     }
 
-    /** The first is held while it reads the file; it must not take discovery back to what it has read. */
+    /**
+     * The first is held while it reads the file; it must not take discovery back to what it has
+     * read.
+     */
     @Test
     void aHangUpThatReadsLateDoesNotUndoANewerOne() throws Exception {
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            ScriptedServer backend =
+                    rig.backend((connection, request) -> connection.answer("200 OK", "s"));
             ScriptedServer newer = rig.backend(ScriptedServer.SILENT);
             ScriptedServer older = rig.backend(ScriptedServer.SILENT);
             rig.start(Rig.entry("s", backend.address(), "SERVING"));
@@ -240,8 +257,13 @@
             first.join();
             second.join();
             rig.proxy().awaitIdle();
-            String last = rig.log.toString(StandardCharsets.UTF_8).lines()
-                    .filter(line -> line.contains("discovery is at ")).reduce((a, b) -> b).orElse("");
+            String last =
+                    rig.log
+                            .toString(StandardCharsets.UTF_8)
+                            .lines()
+                            .filter(line -> line.contains("discovery is at "))
+                            .reduce((a, b) -> b)
+                            .orElse("");
             assertTrue(last.contains(":" + newer.address().getPort() + " "), last);
         }
     }
@@ -266,15 +288,19 @@
     void answersAllThatWereTakenOnAConnectionBeforeItsClientIsSentAway() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer backend = rig.backend((connection, request) -> {
-                if (request.header("X-Request-Id").startsWith("held")) {
-                    release.await();
-                }
-                connection.answer("200 OK", request.header("X-Request-Id"));
-            });
-            rig.limit("connectTimeoutUs", 2_000_000).start(Rig.entry("s", backend.address(), "SERVING"),
-                    Rig.entry("t", backend.address(), "SERVING"),
-                    Rig.entry("u", backend.address(), "SERVING"));
+            ScriptedServer backend =
+                    rig.backend(
+                            (connection, request) -> {
+                                if (request.header("X-Request-Id").startsWith("held")) {
+                                    release.await();
+                                }
+                                connection.answer("200 OK", request.header("X-Request-Id"));
+                            });
+            rig.limit("connectTimeoutUs", 2_000_000)
+                    .start(
+                            Rig.entry("s", backend.address(), "SERVING"),
+                            Rig.entry("t", backend.address(), "SERVING"),
+                            Rig.entry("u", backend.address(), "SERVING"));
             Http open = rig.client();
             open.write(Rig.get("before", ""));
             assertEquals("before", open.read().text());
@@ -311,13 +337,23 @@
         }
     }
 
-    /** One is sent while the file is only half written: all stays as it was, and one line says so. */
+    /**
+     * One is sent while the file is only half written: all stays as it was, and one line says so.
+     */
     @ParameterizedTest
-    @ValueSource(strings = {"", "{\"discovery\":\"127.0.", "null", "[]", "{\"discovery\":7}",
-        "{\"discovery\":\"nowhere\"}"})
+    @ValueSource(
+            strings = {
+                "",
+                "{\"discovery\":\"127.0.",
+                "null",
+                "[]",
+                "{\"discovery\":7}",
+                "{\"discovery\":\"nowhere\"}"
+            })
     void aConfigurationThatCannotBeReadAtAHangUpChangesNothing(String written) throws Exception {
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "s"));
+            ScriptedServer backend =
+                    rig.backend((connection, request) -> connection.answer("200 OK", "s"));
             rig.start(Rig.entry("s", backend.address(), "SERVING"));
             rig.discovery().next();
             Files.writeString(folder.resolve("config.json"), written);
@@ -325,16 +361,22 @@
             rig.awaitLog("the configuration stays as it is: ");
             assertEquals("s", rig.call(Rig.get("a", "")).text());
             rig.lines.add(Rig.END_OF_WATCH);
-            assertTrue(rig.discovery().next().start().contains("from=8"), "discovery is where it was");
+            assertTrue(
+                    rig.discovery().next().start().contains("from=8"), "discovery is where it was");
         }
     }
 
-    /** In a rolling restart the other proxy may not be back yet: clients here have nowhere else to go. */
+    /**
+     * In a rolling restart the other proxy may not be back yet: clients here have nowhere else to
+     * go.
+     */
     @Test
     void servesOpenConnectionsOnAfterItHasStoppedToListen() throws Exception {
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK",
-                    request.header("X-Deadline")));
+            ScriptedServer backend =
+                    rig.backend(
+                            (connection, request) ->
+                                    connection.answer("200 OK", request.header("X-Deadline")));
             rig.start(Rig.entry("s", backend.address(), "SERVING"));
             Http open = rig.client();
             open.write(Rig.get("before", ""));
@@ -351,21 +393,32 @@
         }
     }
 
-    /** After SIGHUP discovery is where the configuration says now; what it had taken is answered. */
+    /**
+     * After SIGHUP discovery is where the configuration says now; what it had taken is answered.
+     */
     @Test
     void movesToAnotherDiscoveryAtAHangUpAndServesOn() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         try (Rig rig = new Rig(folder)) {
-            ScriptedServer old = rig.backend((connection, request) -> {
-                release.await();
-                connection.answer("200 OK", "old");
-            });
+            ScriptedServer old =
+                    rig.backend(
+                            (connection, request) -> {
+                                release.await();
+                                connection.answer("200 OK", "old");
+                            });
             rig.lines.add(Rig.list(8, true, Rig.entry("s", old.address(), "SERVING")));
-            ScriptedServer next = rig.backend((connection, request) -> connection.answer("200 OK", "next"));
+            ScriptedServer next =
+                    rig.backend((connection, request) -> connection.answer("200 OK", "next"));
             String list = Rig.list(9, true, Rig.entry("t", next.address(), "SERVING"));
-            ScriptedServer other = rig.backend((connection, request) -> connection.write(
-                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + Integer.toHexString(list.length() + 1) + "\r\n" + list + "\n\r\n"));
+            ScriptedServer other =
+                    rig.backend(
+                            (connection, request) ->
+                                    connection.write(
+                                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                                    + Integer.toHexString(list.length() + 1)
+                                                    + "\r\n"
+                                                    + list
+                                                    + "\n\r\n"));
             InetSocketAddress address = freeAddress();
             Process process = serve(rig, address);
             try {
@@ -376,8 +429,11 @@
                 held.write(Rig.get("held", ""));
                 old.next();
                 rig.nameDiscovery(other.address());
-                assertEquals(0, new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start()
-                        .waitFor());
+                assertEquals(
+                        0,
+                        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+                                .start()
+                                .waitFor());
                 assertTrue(other.next().start().contains("watch=1&from=8"));
                 release.countDown();
                 assertEquals("old", held.read().text());
@@ -405,8 +461,13 @@
         env.putAll(more);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp",
-                System.getProperty("java.class.path"), "passhatch.cli.Main", "serve");
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        java,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "passhatch.cli.Main",
+                        "serve");
         builder.environment().putAll(env);
         return builder.start();
     }
--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -30,11 +30,11 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import passhatch.Balancer.Outcome;
+import passhatch.proxy.Http;
+import passhatch.proxy.ScriptedServer;
 import passhatch.proxy.backend.BackendPool.Handle;
 import passhatch.proxy.backend.BackendPool.Outgoing;
 import passhatch.proxy.backend.BackendPool.Result;
-import passhatch.proxy.Http;
-import passhatch.proxy.ScriptedServer;
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.Descriptors;
 import passhatch.proxy.base.EventLog;
@@ -46,8 +46,8 @@
 
     private static final long LONG_US = 15_000_000;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
     private final Descriptors descriptors = new Descriptors(0);
@@ -62,8 +62,15 @@
     }
 
     private BackendPool pool(long keepaliveUs, long restUs) {
-        return new BackendPool(loop, new Clock(), new EventLog(System.err), budget, 10_000_000,
-                keepaliveUs, restUs, descriptors);
+        return new BackendPool(
+                loop,
+                new Clock(),
+                new EventLog(System.err),
+                budget,
+                10_000_000,
+                keepaliveUs,
+                restUs,
+                descriptors);
     }
 
     @AfterEach
@@ -71,12 +78,15 @@
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    private Handle send(InetSocketAddress address, boolean wanted, long timeoutUs) throws Exception {
-        return loop.submit(() -> pool.send(address, outgoing(wanted, timeoutUs), results::add)).get();
+    private Handle send(InetSocketAddress address, boolean wanted, long timeoutUs)
+            throws Exception {
+        return loop.submit(() -> pool.send(address, outgoing(wanted, timeoutUs), results::add))
+                .get();
     }
 
     private static Outgoing outgoing(boolean wanted, long timeoutUs) {
-        return new Outgoing(BackendPoolTest::message, null, () -> wanted, timeoutUs, Outcome.TIMEOUT);
+        return new Outgoing(
+                BackendPoolTest::message, null, () -> wanted, timeoutUs, Outcome.TIMEOUT);
     }
 
     private static FullHttpRequest message() {
@@ -95,50 +105,80 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', textBlock = """
-            OK    | 200 OK                               | Content-Length: 2
-            ERROR | 500 Broken                           | Content-Length: 2
-            FULL  | 503 Full                             | Content-Length: 2;X-Not-Run: 1
-            FULL  | 504 Over                             | Content-Length: 2;X-Not-Run: 1
-            ERROR | 503 Behind                           | Content-Length: 2
-            ERROR | 504 Behind                           | Content-Length: 2
-            ERROR | 500 Broken                           | Content-Length: 2;X-Not-Run: 1
-            ERROR | 404 Odd                              | Content-Length: 2
-            RESET | 200 OK                               | Content-Length: 9
-            RESET | nonsense                             | Content-Length: 2
-            RESET | 200 OK                               | Content-Length: 2;no colon here
-            RESET | 200 OK                               | Content-Length: 1
-            RESET | 200 OK                               | Content-Length: 0
-            RESET | 200 OK                               | Content-Length: 3000000000
-            OK    | 200 OK                               | Content-Length: 2;X-Empty:
-            OK    | 200 OK                               | Content-Length: 2;X-Folded: a;  b
-            OK    | 200 OK                               | Connection: close
-            OK    | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2
-            RESET | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2;no colon here
-            """)
+    @CsvSource(
+            delimiter = '|',
+            textBlock =
+                    """
+                    OK    | 200 OK                               | Content-Length: 2
+                    ERROR | 500 Broken                           | Content-Length: 2
+                    FULL  | 503 Full                             | Content-Length: 2;X-Not-Run: 1
+                    FULL  | 504 Over                             | Content-Length: 2;X-Not-Run: 1
+                    ERROR | 503 Behind                           | Content-Length: 2
+                    ERROR | 504 Behind                           | Content-Length: 2
+                    ERROR | 500 Broken                           | Content-Length: 2;X-Not-Run: 1
+                    ERROR | 404 Odd                              | Content-Length: 2
+                    RESET | 200 OK                               | Content-Length: 9
+                    RESET | nonsense                             | Content-Length: 2
+                    RESET | 200 OK                               | Content-Length: 2;no colon here
+                    RESET | 200 OK                               | Content-Length: 1
+                    RESET | 200 OK                               | Content-Length: 0
+                    RESET | 200 OK                               | Content-Length: 3000000000
+                    OK    | 200 OK                               | Content-Length: 2;X-Empty:
+                    OK    | 200 OK                               | Content-Length: 2;X-Folded: a;  b
+                    OK    | 200 OK                               | Connection: close
+                    OK    | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2
+                    RESET | 100 Continue;;HTTP/1.1 200 OK        | Content-Length: 2;no colon here
+                    """)
     void readsAnswers(Outcome outcome, String status, String headers) throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.write(("HTTP/1.1 " + status + ";" + headers).replace(";", "\r\n") + "\r\n\r\nab");
-            connection.close();
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            connection.write(
+                                    ("HTTP/1.1 " + status + ";" + headers).replace(";", "\r\n")
+                                            + "\r\n\r\nab");
+                            connection.close();
+                        })) {
             assertEquals(outcome, call(backend.address()));
         }
     }
 
-    /** The copy stood in the buffer when the next call took the connection, and passed for its answer. */
+    /**
+     * The copy stood in the buffer when the next call took the connection, and passed for its
+     * answer.
+     */
     @Test
     void aSecondAnswerToOneRequestIsNotTakenForTheNextOnes() throws Exception {
         AtomicInteger calls = new AtomicInteger();
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            String answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + calls.incrementAndGet();
-            connection.write(answer + answer);
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            String answer =
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                            + calls.incrementAndGet();
+                            connection.write(answer + answer);
+                        })) {
             BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
-            loop.submit(() -> pool.send(backend.address(), outgoing(true, LONG_US), first -> {
-                bodies.add(new String(first.body(), StandardCharsets.UTF_8));
-                pool.send(backend.address(), outgoing(true, LONG_US),
-                        next -> bodies.add(new String(next.body(), StandardCharsets.UTF_8)));
-            })).get();
+            loop.submit(
+                            () ->
+                                    pool.send(
+                                            backend.address(),
+                                            outgoing(true, LONG_US),
+                                            first -> {
+                                                bodies.add(
+                                                        new String(
+                                                                first.body(),
+                                                                StandardCharsets.UTF_8));
+                                                pool.send(
+                                                        backend.address(),
+                                                        outgoing(true, LONG_US),
+                                                        next ->
+                                                                bodies.add(
+                                                                        new String(
+                                                                                next.body(),
+                                                                                StandardCharsets
+                                                                                        .UTF_8)));
+                                            }))
+                    .get();
             assertEquals("1", bodies.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
             assertEquals("2", bodies.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
         }
@@ -147,11 +187,13 @@
     /** Without the end of a line no answer is read from them, yet they would spoil the next one. */
     @Test
     void bytesOnAnIdleConnectionEndIt() throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.answer("200 OK", "x");
-            results.take();
-            connection.write("stray");
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            connection.answer("200 OK", "x");
+                            results.take();
+                            connection.write("stray");
+                        })) {
             send(backend.address(), true, LONG_US);
             backend.awaitEnded();
         }
@@ -195,16 +237,21 @@
     @EnumSource
     void aConnectionOnWhichSomethingHasJustComeIsNotUsedAgain(Crossing crossing) throws Exception {
         BlockingQueue<Http> first = new LinkedBlockingQueue<>();
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.answer("200 OK", "own");
-            first.add(connection);
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            connection.answer("200 OK", "own");
+                            first.add(connection);
+                        })) {
             assertEquals(Outcome.OK, call(backend.address()));
             Http kept = first.take();
-            loop.submit(() -> {
-                crossing.happen(kept, backend);
-                return pool.send(backend.address(), outgoing(true, LONG_US), results::add);
-            }).get();
+            loop.submit(
+                            () -> {
+                                crossing.happen(kept, backend);
+                                return pool.send(
+                                        backend.address(), outgoing(true, LONG_US), results::add);
+                            })
+                    .get();
             Result result = results.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
             assertEquals(Outcome.OK, result.outcome());
             assertEquals("own", new String(result.body(), StandardCharsets.UTF_8));
@@ -213,13 +260,14 @@
     }
 
     private static ScriptedServer answeringTwice() throws IOException {
-        return new ScriptedServer((connection, request) -> connection.write(
-                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2)));
+        return new ScriptedServer(
+                (connection, request) ->
+                        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".repeat(2)));
     }
 
     /**
-     * It comes some milliseconds after the first, when the next call is out: on another connection, once
-     * backends were seen to send what nothing asked for.
+     * It comes some milliseconds after the first, when the next call is out: on another connection,
+     * once backends were seen to send what nothing asked for.
      */
     @Test
     void aSecondAnswerThatComesLateIsNotTakenForTheNextOnes() throws Exception {
@@ -228,16 +276,18 @@
             assertEquals(Outcome.OK, call(twice.address()));
         }
         BlockingQueue<Http> first = new LinkedBlockingQueue<>();
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            if (first.isEmpty()) {
-                first.add(connection);
-                connection.answer("200 OK", "first");
-            } else {
-                first.peek().answer("200 OK", "first");
-                first.peek().socket.getInputStream().read();
-                connection.answer("200 OK", "next");
-            }
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            if (first.isEmpty()) {
+                                first.add(connection);
+                                connection.answer("200 OK", "first");
+                            } else {
+                                first.peek().answer("200 OK", "first");
+                                first.peek().socket.getInputStream().read();
+                                connection.answer("200 OK", "next");
+                            }
+                        })) {
             assertEquals(Outcome.OK, call(backend.address()));
             send(backend.address(), true, LONG_US);
             Result result = results.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
@@ -274,7 +324,8 @@
 
     @Test
     void aBreakAfterTheRequestIsAReset() throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> connection.reset())) {
+        try (ScriptedServer backend =
+                new ScriptedServer((connection, request) -> connection.reset())) {
             assertEquals(Outcome.RESET, call(backend.address()));
         }
     }
@@ -283,11 +334,13 @@
     @Test
     void aResetEndsNoAnswer() throws Exception {
         CountDownLatch read = new CountDownLatch(1);
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
-            read.await();
-            connection.reset();
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
+                            read.await();
+                            connection.reset();
+                        })) {
             send(backend.address(), true, LONG_US);
             while (loop.submit(budget::held).get() == 0) {
                 Thread.onSpinWait();
@@ -300,14 +353,25 @@
     /** The answer without a length ends the connection, so the next call must not go out on it. */
     @Test
     void aConnectionThatEndedAnAnswerIsNotUsedAgain() throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
-            connection.socket.shutdownOutput();
-        })) {
-            loop.submit(() -> pool.send(backend.address(), outgoing(true, LONG_US), first -> {
-                results.add(first);
-                pool.send(backend.address(), outgoing(true, LONG_US), results::add);
-            })).get();
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            connection.write("HTTP/1.1 200 OK\r\n\r\nab");
+                            connection.socket.shutdownOutput();
+                        })) {
+            loop.submit(
+                            () ->
+                                    pool.send(
+                                            backend.address(),
+                                            outgoing(true, LONG_US),
+                                            first -> {
+                                                results.add(first);
+                                                pool.send(
+                                                        backend.address(),
+                                                        outgoing(true, LONG_US),
+                                                        results::add);
+                                            }))
+                    .get();
             assertEquals(Outcome.OK, result());
             assertEquals(Outcome.OK, result());
             assertEquals(2, backend.connections.get());
@@ -383,14 +447,16 @@
     /** A kept connection that the backend ends on the next request: that request may have run. */
     @Test
     void aStaleConnectionIsAResetAndNothingIsSentAgain() throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
-            if (connection.socket.getKeepAlive()) {
-                connection.reset();
-            } else {
-                connection.socket.setKeepAlive(true);
-                connection.answer("200 OK", "first");
-            }
-        })) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) -> {
+                            if (connection.socket.getKeepAlive()) {
+                                connection.reset();
+                            } else {
+                                connection.socket.setKeepAlive(true);
+                                connection.answer("200 OK", "first");
+                            }
+                        })) {
             assertEquals(Outcome.OK, call(backend.address()));
             assertEquals(Outcome.RESET, call(backend.address()));
             assertEquals(2, backend.received.size());
@@ -429,9 +495,13 @@
 
     @Test
     void passesALoadReportOn() throws Exception {
-        try (ScriptedServer backend = new ScriptedServer((connection, request) -> connection.write(
-                "HTTP/1.1 200 OK\r\nX-Load: TEXT inflight=7, queue=2, util=0.61\r\n"
-                + "Content-Length: 0\r\n\r\n"))) {
+        try (ScriptedServer backend =
+                new ScriptedServer(
+                        (connection, request) ->
+                                connection.write(
+                                        "HTTP/1.1 200 OK\r\n"
+                                                + "X-Load: TEXT inflight=7, queue=2, util=0.61\r\n"
+                                                + "Content-Length: 0\r\n\r\n"))) {
             send(backend.address(), true, LONG_US);
             Result result = results.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
             assertEquals(new passhatch.Balancer.LoadReport(7, 2, 0.61), result.report());
--- a/src/test/java/passhatch/proxy/discovery/JsonValuesTest.java
+++ b/src/test/java/passhatch/proxy/discovery/JsonValuesTest.java
@@ -13,7 +13,9 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Objects are found whatever their layout, however their bytes arrive, and after what is no JSON. */
+/**
+ * Objects are found whatever their layout, however their bytes arrive, and after what is no JSON.
+ */
 final class JsonValuesTest implements JsonValues.Listener {
 
     private static final int LONGEST = 400;
@@ -52,15 +54,27 @@
             List<Map<String, Object>> sent = new ArrayList<>();
             StringBuilder wire = new StringBuilder();
             for (int i = random.nextInt(4); i >= 0; i--) {
-                Map<String, Object> object = Map.of("index", random.nextInt(), "a{}\\\"[]", List.of(
-                        Map.of("name", "}]{[\\\"\n".repeat(random.nextInt(3))), Map.of()));
+                Map<String, Object> object =
+                        Map.of(
+                                "index",
+                                random.nextInt(),
+                                "a{}\\\"[]",
+                                List.of(
+                                        Map.of("name", "}]{[\\\"\n".repeat(random.nextInt(3))),
+                                        Map.of()));
                 sent.add(object);
-                JSON json = random.nextBoolean() ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT) : JSON.std;
+                JSON json =
+                        random.nextBoolean()
+                                ? JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT)
+                                : JSON.std;
                 wire.append(json.asString(object)).append(random.nextBoolean() ? "\r\n" : "\n");
             }
             byte[] bytes = wire.toString().getBytes(StandardCharsets.UTF_8);
-            for (int at = 0; at < bytes.length;) {
-                int piece = Math.min(bytes.length - at, 1 + random.nextInt(random.nextBoolean() ? 3 : 200));
+            for (int at = 0; at < bytes.length; ) {
+                int piece =
+                        Math.min(
+                                bytes.length - at,
+                                1 + random.nextInt(random.nextBoolean() ? 3 : 200));
                 values.read(Unpooled.wrappedBuffer(bytes, at, piece));
                 at += piece;
             }
@@ -89,7 +103,9 @@
 
     @Test
     void passesOverWhatIsTooLongAndHoldsNoMoreOfIt() {
-        assertEquals(List.of("skipped", "{}"), read("{\"a\":\"" + "x".repeat(3 * LONGEST) + "\"}\n{}\n"));
+        assertEquals(
+                List.of("skipped", "{}"),
+                read("{\"a\":\"" + "x".repeat(3 * LONGEST) + "\"}\n{}\n"));
         assertEquals(List.of("skipped", "{}"), read("[".repeat(3 * LONGEST) + "\n{}\n"));
     }
 
--- a/src/test/java/passhatch/proxy/flow/RelayTest.java
+++ b/src/test/java/passhatch/proxy/flow/RelayTest.java
@@ -38,18 +38,26 @@
     private String heard = "";
 
     private Relay relay(EmbeddedChannel to) {
-        to.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(10, 1 << 20));
-        return new Relay(to.eventLoop(), budget, on -> reads = on, to, new Relay.Listener() {
-            @Override
-            public void passed() {
-                heard += "passed";
-            }
+        to.config()
+                .setOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(10, 1 << 20));
+        return new Relay(
+                to.eventLoop(),
+                budget,
+                on -> reads = on,
+                to,
+                new Relay.Listener() {
+                    @Override
+                    public void passed() {
+                        heard += "passed";
+                    }
 
-            @Override
-            public void broken() {
-                heard += "broken";
-            }
-        });
+                    @Override
+                    public void broken() {
+                        heard += "broken";
+                    }
+                });
     }
 
     private static ByteBuf bytes(int size) {
--- a/src/test/java/passhatch/store/CrashTest.java
+++ b/src/test/java/passhatch/store/CrashTest.java
@@ -16,8 +16,8 @@
 import passhatch.lab.disk.FaultyDisk.Fault;
 
 /**
- * A workload of a few hundred operations, stopped at every call of the disk: after recovery all that was
- * acknowledged is there, and nothing that was not written is.
+ * A workload of a few hundred operations, stopped at every call of the disk: after recovery all
+ * that was acknowledged is there, and nothing that was not written is.
  */
 class CrashTest {
 
@@ -25,7 +25,9 @@
     private static final int SURVIVORS = 12;
     private static final long CAPACITY = 1L << 28;
 
-    /** What the workload knows of its own store: numbers in the order in which they were written. */
+    /**
+     * What the workload knows of its own store: numbers in the order in which they were written.
+     */
     private static final class Model {
         final List<Integer> written = new ArrayList<>();
         int acknowledged;
@@ -39,10 +41,13 @@
         return new Entry(1 + n % 5, bytes);
     }
 
-    /** The state is all numbers so far, as one record each, so that a snapshot shows what it stands for. */
+    /**
+     * The state is all numbers so far, as one record each, so that a snapshot shows what it stands
+     * for.
+     */
     private static void work(FaultyDisk disk, Model model, int operations) throws StoreException {
         UniformRandomProvider random = new Seeds(11).stream("work");
-        RecordLog log = RecordLog.open(disk, OWNER, e -> { });
+        RecordLog log = RecordLog.open(disk, OWNER, e -> {});
         model.epoch = log.epoch();
         for (int i = 0; i < operations; i++) {
             int what = random.nextInt(20);
@@ -50,7 +55,7 @@
                 log.snapshot(model.written.stream().map(CrashTest::entry).toList());
             } else if (what == 1) {
                 log.close();
-                log = RecordLog.open(disk, OWNER, e -> { });
+                log = RecordLog.open(disk, OWNER, e -> {});
                 model.epoch = log.epoch();
             } else {
                 List<Entry> group = new ArrayList<>();
@@ -67,8 +72,9 @@
     private static void check(FaultyDisk left, Model model, String when) throws StoreException {
         List<Entry> found = new ArrayList<>();
         RecordLog log = RecordLog.open(left, OWNER, found::add);
-        assertTrue(found.size() >= model.acknowledged, when + ": " + found.size() + " of "
-                + model.acknowledged);
+        assertTrue(
+                found.size() >= model.acknowledged,
+                when + ": " + found.size() + " of " + model.acknowledged);
         assertTrue(found.size() <= model.written.size(), when);
         for (int i = 0; i < found.size(); i++) {
             assertEquals(entry(model.written.get(i)), found.get(i), when);
@@ -80,8 +86,11 @@
         assertEquals(found.size() + 1, again.size(), when);
     }
 
-    /** How many runs of the workload lost something; with the process stopped at each call in turn. */
-    private static int crashEverywhere(Fault fault, boolean forgetful, int operations) throws StoreException {
+    /**
+     * How many runs of the workload lost something; with the process stopped at each call in turn.
+     */
+    private static int crashEverywhere(Fault fault, boolean forgetful, int operations)
+            throws StoreException {
         FaultyDisk whole = new FaultyDisk(CAPACITY);
         work(whole, new Model(), operations);
         assertTrue(whole.calls() > 3L * operations, "the workload is too small");
@@ -99,7 +108,10 @@
             UniformRandomProvider random = new Seeds(k).stream("survivors");
             for (int s = 0; s < SURVIVORS; s++) {
                 try {
-                    check(disk.afterPowerLoss(random), model, fault + " at call " + k + ", survivor " + s);
+                    check(
+                            disk.afterPowerLoss(random),
+                            model,
+                            fault + " at call " + k + ", survivor " + s);
                 } catch (AssertionError | StoreException lost) {
                     if (!forgetful) {
                         throw lost;
@@ -136,7 +148,8 @@
     }
 
     /**
-     * One flipped bit anywhere: told as damage, or in what never counted; never believed, never passed over.
+     * One flipped bit anywhere: told as damage, or in what never counted; never believed, never
+     * passed over.
      */
     @Test
     void aFlippedBitIsNeverBelieved() throws Exception {
@@ -153,7 +166,9 @@
                     List<Entry> found = new ArrayList<>();
                     try {
                         RecordLog.open(flipped, OWNER, found::add);
-                        assertEquals(model.written.stream().map(CrashTest::entry).toList(), found,
+                        assertEquals(
+                                model.written.stream().map(CrashTest::entry).toList(),
+                                found,
                                 name + ", byte " + at + ", bit " + bit);
                     } catch (StoreException.Damaged damaged) {
                         told++;
--- a/src/test/java/passhatch/store/StoreTest.java
+++ b/src/test/java/passhatch/store/StoreTest.java
@@ -20,15 +20,14 @@
 import passhatch.lab.disk.FaultyDisk;
 
 /**
- * The rows of the table in docs/recovery.md that are not a matter of crashes, on a real folder where it
- * counts.
+ * The rows of the table in docs/recovery.md that are not a matter of crashes, on a real folder
+ * where it counts.
  */
 class StoreTest {
 
     private static final long CAPACITY = 1L << 28;
 
-    @TempDir
-    private Path folder;
+    @TempDir private Path folder;
 
     private static Entry entry(String text) {
         return new Entry(3, text.getBytes(StandardCharsets.UTF_8));
@@ -60,14 +59,18 @@
         }
         try (FolderDisk disk = FolderDisk.take(folder)) {
             assertEquals(List.of(entry("s3"), entry("c3")), contents(disk));
-            assertEquals(3, disk.list().size(), "a snapshot, its segment and the new one: " + disk.list());
+            assertEquals(
+                    3,
+                    disk.list().size(),
+                    "a snapshot, its segment and the new one: " + disk.list());
         }
     }
 
     @Test
     void oneProcessHasAFolderAtATime() throws Exception {
         try (FolderDisk held = FolderDisk.take(folder)) {
-            StoreException told = assertThrows(StoreException.InUse.class, () -> FolderDisk.take(folder));
+            StoreException told =
+                    assertThrows(StoreException.InUse.class, () -> FolderDisk.take(folder));
             assertTrue(told.getMessage().contains("in use by another process"), told.getMessage());
             assertEquals(List.of(), held.list());
         }
@@ -77,11 +80,12 @@
     @Test
     void anotherOwnersFolderAndANewerOneAreLeftAlone() throws Exception {
         FaultyDisk disk = new FaultyDisk(CAPACITY);
-        RecordLog.open(disk, "you", e -> { }).append(List.of(entry("x")));
+        RecordLog.open(disk, "you", e -> {}).append(List.of(entry("x")));
         List<String> before = disk.list();
         StoreException told = assertThrows(StoreException.Foreign.class, () -> contents(disk));
         assertTrue(told.getMessage().contains("belongs to 'you', not to 'me'"), told.getMessage());
-        assertThrows(StoreException.Foreign.class, () -> RecordLog.openOrSetAside(disk, "me", e -> { }));
+        assertThrows(
+                StoreException.Foreign.class, () -> RecordLog.openOrSetAside(disk, "me", e -> {}));
         assertEquals(before, disk.list());
         FaultyDisk newer = new FaultyDisk(CAPACITY);
         ByteBuffer head = Format.head(new Format.Head(false, Format.VERSION + 1, "me", 1, 1));
@@ -91,11 +95,12 @@
     }
 
     /**
-     * Damage in the middle: promises refuse with file and byte, a help is set aside, salvage saves the rest.
+     * Damage in the middle: promises refuse with file and byte, a help is set aside, salvage saves
+     * the rest.
      */
     @Test
     void damageInTheMiddleIsToldAndSalvaged() throws Exception {
-        try (RecordLog log = RecordLog.open(FolderDisk.take(folder), "me", e -> { })) {
+        try (RecordLog log = RecordLog.open(FolderDisk.take(folder), "me", e -> {})) {
             for (int i = 0; i < 10; i++) {
                 log.append(List.of(entry("record " + i)));
             }
@@ -104,7 +109,9 @@
         flip(segment, Format.HEAD_BYTES + 150);
         try (FolderDisk disk = FolderDisk.take(folder)) {
             StoreException told = assertThrows(StoreException.Damaged.class, () -> contents(disk));
-            assertTrue(told.getMessage().matches("segment-0{15}1, byte \\d+: record \\d+ does not check"),
+            assertTrue(
+                    told.getMessage()
+                            .matches("segment-0{15}1, byte \\d+: record \\d+ does not check"),
                     told.getMessage());
             List<Entry> saved = new ArrayList<>();
             Inspection.Report report = Inspection.inspect(disk, saved::add);
@@ -116,9 +123,13 @@
             try (FolderDisk to = FolderDisk.take(folder.resolve("to"))) {
                 assertEquals(saved, contents(to));
             }
-            RecordLog help = RecordLog.openOrSetAside(disk, "me", e -> {
-                throw new AssertionError("nothing of it is believed");
-            });
+            RecordLog help =
+                    RecordLog.openOrSetAside(
+                            disk,
+                            "me",
+                            e -> {
+                                throw new AssertionError("nothing of it is believed");
+                            });
             assertTrue(help.notes().toString().contains("set aside"), help.notes().toString());
             help.append(List.of(entry("new")));
             assertEquals(List.of(entry("new")), contents(disk));
@@ -129,17 +140,19 @@
     void aMissingSegmentIsDamage() throws Exception {
         FaultyDisk disk = new FaultyDisk(CAPACITY);
         for (int i = 0; i < 3; i++) {
-            RecordLog.open(disk, "me", e -> { }).append(List.of(entry("x")));
+            RecordLog.open(disk, "me", e -> {}).append(List.of(entry("x")));
         }
         disk.delete(Format.segment(2));
         StoreException told = assertThrows(StoreException.Damaged.class, () -> contents(disk));
-        assertTrue(told.getMessage().contains("records 2 to 2 before it are missing"), told.getMessage());
+        assertTrue(
+                told.getMessage().contains("records 2 to 2 before it are missing"),
+                told.getMessage());
     }
 
     @Test
     void whatIsTooLargeIsRefusedAndTheRestGoesOn() throws Exception {
         FaultyDisk disk = new FaultyDisk(CAPACITY);
-        RecordLog log = RecordLog.open(disk, "me", e -> { });
+        RecordLog log = RecordLog.open(disk, "me", e -> {});
         Entry large = new Entry(1, new byte[Format.MOST_RECORD + 1]);
         assertThrows(StoreException.TooLarge.class, () -> log.append(List.of(entry("a"), large)));
         assertThrows(StoreException.TooLarge.class, () -> log.snapshot(List.of(large)));
@@ -149,11 +162,14 @@
         assertThrows(IllegalArgumentException.class, () -> log.snapshot(List.of(mark)));
         Entry most = new Entry(1, new byte[Format.MOST_RECORD]);
         long fits = Format.MOST_ALL / Format.size(most.bytes());
-        StoreException full = assertThrows(StoreException.TooLarge.class, () -> {
-            for (long i = 0; i <= fits; i++) {
-                log.append(List.of(most));
-            }
-        });
+        StoreException full =
+                assertThrows(
+                        StoreException.TooLarge.class,
+                        () -> {
+                            for (long i = 0; i <= fits; i++) {
+                                log.append(List.of(most));
+                            }
+                        });
         assertTrue(full.getMessage().contains("would hold over"), full.getMessage());
         assertTrue(log.wantsSnapshot());
         log.snapshot(List.of(entry("s")));
@@ -164,22 +180,35 @@
     @Test
     void manyThreadsShareALogAndEachIsToldOfItsOwn() throws Exception {
         FaultyDisk disk = new FaultyDisk(CAPACITY);
-        try (GroupCommit group = new GroupCommit(RecordLog.open(disk, "me", e -> { }))) {
-            List<CompletableFuture<Long>> all = IntStream.range(0, 500).parallel().mapToObj(i -> {
-                try {
-                    return group.submit(i == 250 ? new Entry(1, new byte[Format.MOST_RECORD + 1])
-                            : entry("r" + i));
-                } catch (InterruptedException stop) {
-                    throw new IllegalStateException(stop);
-                }
-            }).toList();
+        try (GroupCommit group = new GroupCommit(RecordLog.open(disk, "me", e -> {}))) {
+            List<CompletableFuture<Long>> all =
+                    IntStream.range(0, 500)
+                            .parallel()
+                            .mapToObj(
+                                    i -> {
+                                        try {
+                                            return group.submit(
+                                                    i == 250
+                                                            ? new Entry(
+                                                                    1,
+                                                                    new byte
+                                                                            [Format.MOST_RECORD
+                                                                                    + 1])
+                                                            : entry("r" + i));
+                                        } catch (InterruptedException stop) {
+                                            throw new IllegalStateException(stop);
+                                        }
+                                    })
+                            .toList();
             long good = 0;
             for (CompletableFuture<Long> one : all) {
                 try {
                     one.join();
                     good++;
                 } catch (CompletionException tooLarge) {
-                    assertTrue(tooLarge.getCause() instanceof StoreException.TooLarge, tooLarge.toString());
+                    assertTrue(
+                            tooLarge.getCause() instanceof StoreException.TooLarge,
+                            tooLarge.toString());
                 }
             }
             assertEquals(499, good);
@@ -188,14 +217,14 @@
     }
 
     /**
-     * No bytes whatever make reading do anything but end well or name what is wrong: all of a file at
-     * random, good files with pieces overwritten, cut, doubled and moved.
+     * No bytes whatever make reading do anything but end well or name what is wrong: all of a file
+     * at random, good files with pieces overwritten, cut, doubled and moved.
      */
     @Test
     void noInputBreaksReading() throws Exception {
         UniformRandomProvider random = new Seeds(4).stream("fuzz");
         FaultyDisk good = new FaultyDisk(CAPACITY);
-        RecordLog log = RecordLog.open(good, "me", e -> { });
+        RecordLog log = RecordLog.open(good, "me", e -> {});
         log.append(IntStream.range(0, 30).mapToObj(i -> entry("record " + i)).toList());
         log.snapshot(List.of(entry("s"), entry("t")));
         log.append(List.of(entry("u"), entry("v")));
@@ -206,12 +235,12 @@
             String name = names.get(random.nextInt(names.size()));
             disk.overwrite(name, mutated(disk.read(name, 1 << 20), random));
             try {
-                RecordLog.open(disk, "me", e -> { });
+                RecordLog.open(disk, "me", e -> {});
                 read++;
             } catch (StoreException named) {
                 assertEquals(1, named.getMessage().lines().count());
             }
-            Inspection.inspect(disk, e -> { });
+            Inspection.inspect(disk, e -> {});
         }
         assertTrue(read > 300 && read < 29_000, read + " were read without an error");
     }
