--- /dev/null
+++ b/src/main/java/passhatch/distribution/Leader.java
@@ -0,0 +1,374 @@
+package passhatch.distribution;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import passhatch.distribution.Message.Append;
+import passhatch.distribution.Message.Appended;
+import passhatch.distribution.Message.Behind;
+import passhatch.distribution.Message.LogPart;
+import passhatch.distribution.Message.LogRequest;
+import passhatch.distribution.Message.Prepare;
+import passhatch.distribution.Message.Prepared;
+
+/**
+ * The process that appends to the log, for one term. It first has a majority of replicas refuse
+ * lower terms and takes over the most complete of their logs; every committed entry is in that one.
+ * An entry is committed once a majority has it and an entry of this term.
+ */
+final class Leader {
+
+    /** Entries sent to a replica without being confirmed, at most. */
+    private static final int WINDOW_ENTRIES = 64;
+
+    /** Uncommitted entries at most; above it changes are refused. */
+    private static final int MAX_UNCOMMITTED = 1_024;
+
+    private enum Phase {
+        PREPARING,
+        ADOPTING,
+        LEADING,
+        OVER
+    }
+
+    /** What the leader knows of another replica. */
+    private static final class Peer {
+        private long matching;
+        private long next;
+        private long sentUs;
+        private long confirmedUs = Long.MIN_VALUE / 2;
+        private boolean voting;
+    }
+
+    private final DistributionSettings settings;
+    private final long term;
+    private final Replica replica;
+    private final DistributionActions actions;
+    private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<String, Prepared> prepared = new HashMap<>();
+    private Phase phase = Phase.PREPARING;
+    private String adoptedFrom;
+    private long wakeAtUs;
+
+    Leader(
+            DistributionSettings settings,
+            long term,
+            Replica replica,
+            long nowUs,
+            DistributionActions actions) {
+        this.settings = settings;
+        this.term = term;
+        this.replica = replica;
+        this.actions = actions;
+        if (!replica.founded() || !replica.promise(term)) {
+            stepDown("this replica cannot promise term " + term);
+            return;
+        }
+        prepare(nowUs);
+        if (settings.majority() == 1) {
+            adoptMostComplete(nowUs);
+        }
+    }
+
+    long term() {
+        return term;
+    }
+
+    boolean isLeading() {
+        return phase == Phase.LEADING;
+    }
+
+    long wakeAtUs() {
+        return phase == Phase.OVER ? Long.MAX_VALUE : wakeAtUs;
+    }
+
+    void timer(long nowUs) {
+        if (nowUs < wakeAtUs()) {
+            return;
+        }
+        switch (phase) {
+            case PREPARING -> prepare(nowUs);
+            case ADOPTING -> requestLog(nowUs, replica.state().version());
+            case LEADING -> heartbeat(nowUs);
+            case OVER -> wakeAtUs = Long.MAX_VALUE;
+        }
+    }
+
+    private void prepare(long nowUs) {
+        wakeAtUs = nowUs + Timing.RETRY_US;
+        for (String other : settings.otherReplicas()) {
+            if (!prepared.containsKey(other)) {
+                actions.send(other, new Prepare(settings.epoch(), term));
+            }
+        }
+    }
+
+    void hear(long nowUs, String from, Message message) {
+        if (phase == Phase.OVER || !settings.otherReplicas().contains(from)) {
+            return;
+        }
+        if (replica.promised() != term) {
+            stepDown("this replica has promised term " + replica.promised());
+            return;
+        }
+        if (message instanceof Prepared of && of.term() == term) {
+            prepared(nowUs, from, of);
+        } else if (message instanceof LogPart of && of.term() == term) {
+            adopt(nowUs, from, of);
+        } else if (message instanceof Behind of && of.term() == term && phase == Phase.ADOPTING) {
+            stepDown("its log lacks entries that others no longer keep");
+        } else if (message instanceof Appended of) {
+            appended(nowUs, from, of);
+        }
+    }
+
+    private void prepared(long nowUs, String from, Prepared of) {
+        if (of.promised() > term) {
+            stepDown("a replica has promised term " + of.promised());
+        } else if (phase == Phase.PREPARING) {
+            prepared.put(from, of);
+            if (prepared.size() + 1 >= settings.majority()) {
+                adoptMostComplete(nowUs);
+            }
+        }
+    }
+
+    private void adoptMostComplete(long nowUs) {
+        long bestTerm = replica.log().lastTerm();
+        long bestVersion = replica.log().lastVersion();
+        for (Map.Entry<String, Prepared> other : prepared.entrySet()) {
+            Prepared of = other.getValue();
+            boolean moreComplete =
+                    of.lastTerm() > bestTerm
+                            || of.lastTerm() == bestTerm && of.lastVersion() > bestVersion;
+            if (moreComplete) {
+                bestTerm = of.lastTerm();
+                bestVersion = of.lastVersion();
+                adoptedFrom = other.getKey();
+            }
+        }
+        if (adoptedFrom == null) {
+            lead(nowUs);
+        } else {
+            phase = Phase.ADOPTING;
+            requestLog(nowUs, replica.state().version());
+        }
+    }
+
+    private void requestLog(long nowUs, long after) {
+        wakeAtUs = nowUs + Timing.RETRY_US;
+        actions.send(adoptedFrom, new LogRequest(settings.epoch(), term, after));
+    }
+
+    private void adopt(long nowUs, String from, LogPart part) {
+        if (phase != Phase.ADOPTING || !from.equals(adoptedFrom)) {
+            return;
+        }
+        if (!replica.take(part.entries())) {
+            stepDown("the disk of this replica fails");
+            return;
+        }
+        long adopted = part.previousVersion() + part.entries().size();
+        if (adopted >= part.lastVersion()) {
+            lead(nowUs);
+        } else {
+            requestLog(nowUs, adopted);
+        }
+    }
+
+    private void lead(long nowUs) {
+        phase = Phase.LEADING;
+        long last = replica.log().lastVersion();
+        for (String other : settings.otherReplicas()) {
+            Peer peer = new Peer();
+            Prepared told = prepared.get(other);
+            peer.next = 1 + (told == null ? last : Math.min(last, told.lastVersion()));
+            peer.next = Math.max(peer.next, replica.log().baseVersion() + 1);
+            peers.put(other, peer);
+        }
+        if (append(LogEntry.noOperation(last + 1, term))) {
+            heartbeat(nowUs);
+            commit(nowUs);
+        }
+    }
+
+    private boolean append(LogEntry entry) {
+        if (replica.promised() != term) {
+            stepDown("this replica has promised term " + replica.promised());
+            return false;
+        }
+        if (replica.take(List.of(entry))) {
+            return true;
+        }
+        stepDown("the disk of this replica fails");
+        return false;
+    }
+
+    /**
+     * Appends a change. It is made once {@link DistributionActions#committed} has told its version;
+     * if this leader loses its lease first, it may or may not have been made.
+     *
+     * @param value null to delete the key
+     * @param ifVersion version of the key's newest entry that the change is meant for; negative for
+     *     any, 0 for a key that does not exist
+     * @return the change's version
+     * @throws InvalidChangeException where the change cannot be made
+     */
+    long submit(long nowUs, String key, String value, long ifVersion)
+            throws InvalidChangeException {
+        Setting.check(key, value);
+        if (phase != Phase.LEADING) {
+            throw new InvalidChangeException("this replica does not lead yet; try again");
+        }
+        if (replica.log().lastVersion() - replica.state().version() >= MAX_UNCOMMITTED) {
+            throw new InvalidChangeException("too many changes wait for a majority; try again");
+        }
+        long newest = versionOf(key);
+        if (ifVersion >= 0 && ifVersion != newest) {
+            throw new InvalidChangeException(
+                    key + ": expected version " + ifVersion + ", it has version " + newest);
+        }
+        long version = replica.log().lastVersion() + 1;
+        if (!append(new LogEntry(version, term, key, value))) {
+            throw new InvalidChangeException("this replica leads no longer; ask another one");
+        }
+        peers.forEach((name, peer) -> replicate(nowUs, name, peer, false));
+        commit(nowUs);
+        return version;
+    }
+
+    private long versionOf(String key) {
+        for (long version = replica.log().lastVersion();
+                version > replica.state().version();
+                version--) {
+            LogEntry entry = replica.log().get(version);
+            if (entry.key().equals(key)) {
+                return entry.isTombstone() ? 0 : version;
+            }
+        }
+        LogEntry entry = replica.state().entries().get(key);
+        return entry == null || entry.isTombstone() ? 0 : entry.version();
+    }
+
+    private void heartbeat(long nowUs) {
+        wakeAtUs = nowUs + Timing.HEARTBEAT_US;
+        peers.forEach(
+                (name, peer) -> {
+                    boolean overdue = nowUs - peer.sentUs >= Timing.RETRY_US;
+                    if (peer.matching + 1 < peer.next && overdue) {
+                        peer.next = Math.max(peer.matching, replica.log().baseVersion()) + 1;
+                    }
+                    replicate(nowUs, name, peer, true);
+                });
+    }
+
+    /** Sends what a replica lacks, as far as the window goes; at least one message if so wished. */
+    private void replicate(long nowUs, String name, Peer peer, boolean always) {
+        ReplicatedLog log = replica.log();
+        if (peer.next <= log.baseVersion()) {
+            if (always) {
+                actions.send(name, new Behind(settings.epoch(), term));
+                // Refused until the replica has fetched the state; its answer says that it has.
+                peer.next = log.baseVersion() + 1;
+                send(nowUs, name, peer, List.of());
+            }
+            return;
+        }
+        boolean sent = false;
+        while (peer.next <= log.lastVersion() && peer.next - peer.matching <= WINDOW_ENTRIES) {
+            List<LogEntry> entries = DatagramBudget.fitting(log.after(peer.next - 1));
+            send(nowUs, name, peer, entries);
+            peer.next += entries.size();
+            peer.sentUs = nowUs;
+            sent = true;
+        }
+        if (!sent && always) {
+            send(nowUs, name, peer, List.of());
+        }
+    }
+
+    private void send(long nowUs, String name, Peer peer, List<LogEntry> entries) {
+        long previous = peer.next - 1;
+        actions.send(
+                name,
+                new Append(
+                        settings.epoch(),
+                        term,
+                        replica.state().version(),
+                        Math.max(0, replica.ageUs(nowUs)),
+                        previous,
+                        replica.log().termAt(previous),
+                        List.copyOf(entries)));
+    }
+
+    private void appended(long nowUs, String from, Appended of) {
+        if (of.term() > term) {
+            stepDown("a replica has promised term " + of.term());
+            return;
+        }
+        Peer peer = peers.get(from);
+        if (phase != Phase.LEADING || of.term() < term || peer == null) {
+            return;
+        }
+        peer.confirmedUs = nowUs;
+        peer.voting = of.voting();
+        confirmed();
+        if (of.accepted()) {
+            peer.matching = Math.max(peer.matching, of.version());
+            peer.next = Math.max(peer.next, peer.matching + 1);
+            commit(nowUs);
+            if (phase == Phase.LEADING) {
+                replicate(nowUs, from, peer, false);
+            }
+        } else if (of.version() + 1 < peer.next && of.version() >= peer.matching) {
+            peer.next = of.version() + 1;
+            replicate(nowUs, from, peer, false);
+        }
+    }
+
+    private void confirmed() {
+        List<Long> times = new ArrayList<>();
+        peers.values().stream().filter(peer -> peer.voting).forEach(p -> times.add(p.confirmedUs));
+        int needed = settings.majority() - 1;
+        if (needed > 0 && times.size() >= needed) {
+            times.sort(null);
+            replica.confirmed(times.get(times.size() - needed));
+        }
+    }
+
+    private void commit(long nowUs) {
+        long before = replica.state().version();
+        List<Long> matching = new ArrayList<>(List.of(replica.log().lastVersion()));
+        peers.values().stream().filter(peer -> peer.voting).forEach(p -> matching.add(p.matching));
+        if (matching.size() < settings.majority()) {
+            return;
+        }
+        matching.sort(null);
+        long onMajority = matching.get(matching.size() - settings.majority());
+        if (onMajority <= before || replica.log().termAt(onMajority) != term) {
+            return;
+        }
+        if (settings.majority() == 1) {
+            replica.confirmed(nowUs);
+        }
+        replica.commit(onMajority);
+        for (long version = before + 1; version <= onMajority; version++) {
+            actions.committed(version);
+        }
+        // At once, so that the other replicas' followers need not wait for a heartbeat.
+        peers.forEach((name, peer) -> replicate(nowUs, name, peer, true));
+    }
+
+    /** The lease is over. */
+    void end() {
+        phase = Phase.OVER;
+    }
+
+    private void stepDown(String reason) {
+        if (phase != Phase.OVER) {
+            phase = Phase.OVER;
+            actions.stepDown(term, reason);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/distribution/MessageCodec.java
@@ -0,0 +1,272 @@
+package passhatch.distribution;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import passhatch.distribution.Message.Ack;
+import passhatch.distribution.Message.Append;
+import passhatch.distribution.Message.Appended;
+import passhatch.distribution.Message.Behind;
+import passhatch.distribution.Message.Delta;
+import passhatch.distribution.Message.LogPart;
+import passhatch.distribution.Message.LogRequest;
+import passhatch.distribution.Message.Poll;
+import passhatch.distribution.Message.Prepare;
+import passhatch.distribution.Message.Prepared;
+import passhatch.distribution.Message.SnapshotPart;
+import passhatch.fleet.CborReader;
+import passhatch.fleet.Drop;
+import passhatch.fleet.Frame;
+import passhatch.fleet.Names;
+
+/**
+ * Messages on changes as datagrams, beside those of membership and duties: a frame, and in it a
+ * CBOR array. A later version of the program may add fields at an array's end; they are passed
+ * over.
+ */
+public final class MessageCodec {
+
+    /** The format's byte. */
+    public static final byte FORMAT = 3;
+
+    private static final CBORFactory CBOR = new CBORFactory();
+    private static final long MAX_VERSION = Long.MAX_VALUE - 1;
+
+    /** What a datagram is, in the order of their numbers on the wire. */
+    private enum Kind {
+        PREPARE,
+        PREPARED,
+        LOG_REQUEST,
+        LOG_PART,
+        APPEND,
+        APPENDED,
+        BEHIND,
+        POLL,
+        ACK,
+        DELTA,
+        SNAPSHOT_PART
+    }
+
+    /** A message, or why there is none. */
+    public record Read(Message message, Drop fault) {}
+
+    private MessageCodec() {}
+
+    /** As a datagram within a fleet. */
+    public static byte[] encode(String fleet, Message message) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(Frame.MOST_BYTES);
+        try (CBORGenerator cbor = CBOR.createGenerator(out)) {
+            cbor.writeStartArray();
+            cbor.writeString(fleet);
+            write(cbor, message);
+            cbor.writeEndArray();
+        } catch (IOException cannotBe) {
+            throw new IllegalStateException(cannotBe);
+        }
+        return Frame.of(FORMAT, out.toByteArray());
+    }
+
+    private static void write(CBORGenerator cbor, Message message) throws IOException {
+        if (message instanceof Prepare of) {
+            begin(cbor, Kind.PREPARE, of.epoch());
+            numbers(cbor, of.term());
+        } else if (message instanceof Prepared of) {
+            begin(cbor, Kind.PREPARED, of.epoch());
+            numbers(cbor, of.term(), of.promised());
+            numbers(cbor, of.lastVersion(), of.lastTerm(), of.committed());
+        } else if (message instanceof LogRequest of) {
+            begin(cbor, Kind.LOG_REQUEST, of.epoch());
+            numbers(cbor, of.term(), of.after());
+        } else if (message instanceof LogPart of) {
+            begin(cbor, Kind.LOG_PART, of.epoch());
+            numbers(cbor, of.term(), of.previousVersion(), of.previousTerm(), of.lastVersion());
+            entries(cbor, of.entries());
+        } else if (message instanceof Append of) {
+            begin(cbor, Kind.APPEND, of.epoch());
+            numbers(cbor, of.term(), of.committed(), age(of.ageUs()));
+            numbers(cbor, of.previousVersion(), of.previousTerm());
+            entries(cbor, of.entries());
+        } else if (message instanceof Appended of) {
+            begin(cbor, Kind.APPENDED, of.epoch());
+            numbers(cbor, of.term(), of.version());
+            cbor.writeBoolean(of.accepted());
+            cbor.writeBoolean(of.voting());
+        } else if (message instanceof Behind of) {
+            begin(cbor, Kind.BEHIND, of.epoch());
+            numbers(cbor, of.term());
+        } else {
+            writeOfFollowers(cbor, message);
+        }
+    }
+
+    private static void writeOfFollowers(CBORGenerator cbor, Message message) throws IOException {
+        if (message instanceof Poll of) {
+            begin(cbor, Kind.POLL, of.epoch());
+            numbers(cbor, of.version());
+            cbor.writeString(of.cursor());
+            cbor.writeBinary(of.filter().encode());
+            cbor.writeString(of.name());
+        } else if (message instanceof Ack of) {
+            begin(cbor, Kind.ACK, of.epoch());
+            numbers(cbor, of.version());
+        } else if (message instanceof Delta of) {
+            begin(cbor, Kind.DELTA, of.epoch());
+            numbers(cbor, of.after(), of.upto(), of.uptoTerm(), age(of.ageUs()));
+            entries(cbor, of.entries());
+        } else if (message instanceof SnapshotPart of) {
+            begin(cbor, Kind.SNAPSHOT_PART, of.epoch());
+            numbers(cbor, of.version(), of.versionTerm(), age(of.ageUs()), of.afterKeyHash());
+            cbor.writeBoolean(of.last());
+            cbor.writeBoolean(of.more());
+            entries(cbor, of.entries());
+        }
+    }
+
+    private static void begin(CBORGenerator cbor, Kind kind, long epoch) throws IOException {
+        cbor.writeNumber(kind.ordinal());
+        cbor.writeNumber(epoch);
+    }
+
+    private static long age(long ageUs) {
+        return Math.max(0, Math.min(Integer.MAX_VALUE, ageUs));
+    }
+
+    private static void numbers(CBORGenerator cbor, long... numbers) throws IOException {
+        for (long number : numbers) {
+            cbor.writeNumber(number);
+        }
+    }
+
+    private static void entries(CBORGenerator cbor, List<LogEntry> entries) throws IOException {
+        cbor.writeStartArray(null, entries.size());
+        for (LogEntry entry : entries) {
+            cbor.writeStartArray(null, 4);
+            numbers(cbor, entry.version(), entry.term());
+            cbor.writeString(entry.key());
+            cbor.writeString(entry.value());
+            cbor.writeEndArray();
+        }
+        cbor.writeEndArray();
+    }
+
+    /** Reads a datagram; whatever it is, the answer is a message within its bounds or a fault. */
+    public static Read decode(String fleet, byte[] bytes) {
+        Drop fault = Frame.fault(FORMAT, bytes);
+        if (fault != null) {
+            return new Read(null, fault);
+        }
+        try (JsonParser parser = CBOR.createParser(bytes, Frame.HEAD, bytes.length - Frame.HEAD)) {
+            CborReader cbor = new CborReader(parser);
+            cbor.begin();
+            if (!fleet.equals(cbor.text())) {
+                return new Read(null, Drop.FLEET);
+            }
+            Kind kind = Kind.values()[cbor.integer(0, Kind.values().length - 1)];
+            Message message = read(cbor, kind, cbor.number(0, Integer.MAX_VALUE));
+            cbor.passOver();
+            return new Read(message, null);
+        } catch (IOException | IllegalArgumentException bad) {
+            return new Read(null, Drop.FORM);
+        }
+    }
+
+    private static Message read(CborReader cbor, Kind kind, long epoch) throws IOException {
+        return switch (kind) {
+            case PREPARE -> new Prepare(epoch, term(cbor));
+            case PREPARED ->
+                    new Prepared(
+                            epoch,
+                            term(cbor),
+                            term(cbor),
+                            version(cbor),
+                            term(cbor),
+                            version(cbor));
+            case LOG_REQUEST -> new LogRequest(epoch, term(cbor), version(cbor));
+            case LOG_PART ->
+                    new LogPart(
+                            epoch,
+                            term(cbor),
+                            version(cbor),
+                            term(cbor),
+                            version(cbor),
+                            entries(cbor));
+            case APPEND ->
+                    new Append(
+                            epoch,
+                            term(cbor),
+                            version(cbor),
+                            age(cbor),
+                            version(cbor),
+                            term(cbor),
+                            entries(cbor));
+            case APPENDED -> {
+                long term = term(cbor);
+                long version = version(cbor);
+                yield new Appended(epoch, term, cbor.bool(), version, cbor.bool());
+            }
+            case BEHIND -> new Behind(epoch, term(cbor));
+            case POLL -> poll(cbor, epoch);
+            case ACK -> new Ack(epoch, version(cbor));
+            case DELTA ->
+                    new Delta(
+                            epoch,
+                            version(cbor),
+                            version(cbor),
+                            term(cbor),
+                            age(cbor),
+                            entries(cbor));
+            case SNAPSHOT_PART ->
+                    new SnapshotPart(
+                            epoch,
+                            version(cbor),
+                            term(cbor),
+                            age(cbor),
+                            cbor.integer(Integer.MIN_VALUE, Integer.MAX_VALUE),
+                            cbor.bool(),
+                            cbor.bool(),
+                            entries(cbor));
+        };
+    }
+
+    private static Message poll(CborReader cbor, long epoch) throws IOException {
+        long version = version(cbor);
+        String cursor = cbor.textOrNull();
+        CborReader.require(cursor == null || ConfigKey.isKey(cursor));
+        ServiceFilter filter = ServiceFilter.decode(cbor.binary());
+        String name = cbor.text();
+        CborReader.require(Names.isName(name));
+        return new Poll(epoch, version, cursor, filter, name);
+    }
+
+    private static long term(CborReader cbor) throws IOException {
+        return cbor.number(0, MAX_VERSION);
+    }
+
+    private static long version(CborReader cbor) throws IOException {
+        return cbor.number(0, MAX_VERSION);
+    }
+
+    private static long age(CborReader cbor) throws IOException {
+        return cbor.number(0, Integer.MAX_VALUE);
+    }
+
+    private static List<LogEntry> entries(CborReader cbor) throws IOException {
+        List<LogEntry> entries = new ArrayList<>();
+        cbor.begin();
+        while (cbor.beginOrEnd()) {
+            long version = cbor.number(1, MAX_VERSION);
+            long term = cbor.number(1, MAX_VERSION);
+            String key = cbor.text();
+            String value = cbor.textOrNull();
+            CborReader.require(key.isEmpty() ? value == null : ConfigKey.isKey(key));
+            CborReader.require(value == null || ConfigKey.isValue(value));
+            entries.add(new LogEntry(version, term, key, value));
+            cbor.passOver();
+        }
+        return List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/distribution/Replica.java
@@ -0,0 +1,308 @@
+package passhatch.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import passhatch.distribution.Message.Append;
+import passhatch.distribution.Message.Appended;
+import passhatch.distribution.Message.Behind;
+import passhatch.distribution.Message.LogPart;
+import passhatch.distribution.Message.LogRequest;
+import passhatch.distribution.Message.Prepare;
+import passhatch.distribution.Message.Prepared;
+
+/**
+ * One replica of the log. Entries are appended as in Raft (Ongaro and Ousterhout, 2014): after an
+ * entry that leader and replica both have, and on disk before they are confirmed. The leader is not
+ * voted for here: it holds a lease, and its term, the lease's fencing token, is what replicas go
+ * by.
+ */
+final class Replica implements CommittedView {
+
+    /** Committed entries kept so that a replica that was away can catch up by the log. */
+    private static final int RETAINED_ENTRIES = 1_024;
+
+    private static final int MAX_TOMBSTONES = 4_096;
+
+    private final long epoch;
+    private final DistributionActions actions;
+    private final ReplicatedLog log = new ReplicatedLog();
+    private final ConfigState state = new ConfigState(MAX_TOMBSTONES);
+    private boolean founded;
+    private boolean diskFailed;
+    private long promised;
+    private long committedOnDisk;
+    private long confirmedUs = Long.MIN_VALUE / 2;
+    private long toldAgeUs;
+
+    Replica(long epoch, List<DiskRecord> records, DistributionActions actions) {
+        this.epoch = epoch;
+        this.actions = actions;
+        long epochOnDisk = 0;
+        for (DiskRecord record : records) {
+            replay(record);
+            if (record instanceof DiskRecord.Founded of) {
+                epochOnDisk = of.epoch();
+            }
+        }
+        if (epochOnDisk > epoch) {
+            throw new IllegalArgumentException(
+                    "the disk has epoch " + epochOnDisk + ", the configuration " + epoch);
+        }
+        founded = epochOnDisk == epoch;
+        committedOnDisk = state.version();
+        if (epochOnDisk > 0 && !founded) {
+            // It has its disk, so it has forgotten nothing; the new epoch counts it as well.
+            found();
+        }
+    }
+
+    private void replay(DiskRecord record) {
+        if (record instanceof DiskRecord.Promised of) {
+            promised = Math.max(promised, of.term());
+        } else if (record instanceof DiskRecord.Appended of) {
+            log.truncateAfter(of.entry().version() - 1);
+            log.append(of.entry());
+        } else if (record instanceof DiskRecord.Committed of) {
+            applyTo(of.version());
+        } else if (record instanceof DiskRecord.Reset of) {
+            state.reset(of.version(), of.versionTerm(), of.floor());
+            log.reset(of.version(), of.versionTerm());
+        } else if (record instanceof DiskRecord.Content of) {
+            of.entries().forEach(state::put);
+        }
+    }
+
+    /** All that a disk needs to have of this replica, in place of what was written so far. */
+    List<DiskRecord> snapshot() {
+        List<DiskRecord> records = new ArrayList<>();
+        if (founded) {
+            records.add(new DiskRecord.Founded(epoch));
+        }
+        records.add(new DiskRecord.Promised(epoch, promised));
+        records.add(new DiskRecord.Reset(epoch, state.version(), state.term(), state.floor()));
+        state.entries().values().forEach(e -> records.add(new DiskRecord.Content(List.of(e))));
+        log.after(state.version()).forEach(e -> records.add(new DiskRecord.Appended(epoch, e)));
+        return records;
+    }
+
+    /**
+     * Lets this replica count towards majorities though its disk knows of none: an operator says so
+     * once, when the log is founded.
+     *
+     * @return false where it counts already or the disk fails
+     */
+    boolean found() {
+        if (founded || !force(List.of(new DiskRecord.Founded(epoch)))) {
+            return false;
+        }
+        founded = true;
+        return true;
+    }
+
+    boolean founded() {
+        return founded;
+    }
+
+    boolean diskFailed() {
+        return diskFailed;
+    }
+
+    long promised() {
+        return promised;
+    }
+
+    ReplicatedLog log() {
+        return log;
+    }
+
+    @Override
+    public long epoch() {
+        return epoch;
+    }
+
+    @Override
+    public ConfigState state() {
+        return state;
+    }
+
+    @Override
+    public long ageUs(long nowUs) {
+        return nowUs - confirmedUs + toldAgeUs;
+    }
+
+    /** A majority has confirmed the leader that runs in this process. */
+    void confirmed(long atUs) {
+        confirmedUs = atUs;
+        toldAgeUs = 0;
+    }
+
+    void hear(long nowUs, String from, Message message) {
+        if (message instanceof Prepare prepare) {
+            prepare(from, prepare);
+        } else if (message instanceof LogRequest request) {
+            tellLog(from, request);
+        } else if (message instanceof Append append) {
+            append(nowUs, from, append);
+        }
+    }
+
+    private void prepare(String from, Prepare prepare) {
+        if (!founded || prepare.term() > promised && !promise(prepare.term())) {
+            return;
+        }
+        actions.send(
+                from,
+                new Prepared(
+                        epoch,
+                        prepare.term(),
+                        promised,
+                        log.lastVersion(),
+                        log.lastTerm(),
+                        state.version()));
+    }
+
+    /** Accepts no lower term from now on; false where the disk does not have that. */
+    boolean promise(long term) {
+        if (term < promised || !force(List.of(new DiskRecord.Promised(epoch, term)))) {
+            return false;
+        }
+        promised = term;
+        return true;
+    }
+
+    private void tellLog(String from, LogRequest request) {
+        if (request.term() != promised) {
+            return;
+        }
+        if (request.after() < log.baseVersion()) {
+            actions.send(from, new Behind(epoch, request.term()));
+        } else if (request.after() <= log.lastVersion()) {
+            actions.send(
+                    from,
+                    new LogPart(
+                            epoch,
+                            request.term(),
+                            request.after(),
+                            log.termAt(request.after()),
+                            log.lastVersion(),
+                            DatagramBudget.fitting(log.after(request.after()))));
+        }
+    }
+
+    private void append(long nowUs, String from, Append append) {
+        if (append.term() > promised && !promise(append.term())) {
+            return;
+        }
+        if (append.term() < promised) {
+            actions.send(from, new Appended(epoch, promised, false, log.lastVersion(), founded));
+            return;
+        }
+        confirmedUs = nowUs;
+        toldAgeUs = append.ageUs();
+        if (!follows(append.previousVersion(), append.previousTerm())) {
+            long retryAfter =
+                    Math.max(
+                            state.version(),
+                            Math.min(log.lastVersion(), append.previousVersion() - 1));
+            actions.send(from, new Appended(epoch, append.term(), false, retryAfter, founded));
+            return;
+        }
+        if (!take(append.entries())) {
+            return;
+        }
+        long matching = append.previousVersion() + append.entries().size();
+        commit(Math.min(append.committed(), matching));
+        actions.send(from, new Appended(epoch, append.term(), true, matching, founded));
+    }
+
+    /** Whether the logs agree up to an entry. What is committed is the same everywhere. */
+    private boolean follows(long version, long term) {
+        return version <= state.version()
+                || version <= log.lastVersion() && log.termAt(version) == term;
+    }
+
+    /**
+     * Takes entries of a leader, over those of its own that differ.
+     *
+     * @return false where the disk does not have them
+     */
+    boolean take(List<LogEntry> entries) {
+        List<LogEntry> missing = new ArrayList<>();
+        for (LogEntry entry : entries) {
+            boolean known =
+                    entry.version() <= state.version()
+                            || missing.isEmpty()
+                                    && entry.version() <= log.lastVersion()
+                                    && log.termAt(entry.version()) == entry.term();
+            if (!known) {
+                missing.add(entry);
+            }
+        }
+        if (missing.isEmpty()) {
+            return true;
+        }
+        List<DiskRecord> records = new ArrayList<>();
+        missing.forEach(entry -> records.add(new DiskRecord.Appended(epoch, entry)));
+        if (!force(records)) {
+            return false;
+        }
+        log.truncateAfter(missing.get(0).version() - 1);
+        missing.forEach(log::append);
+        return true;
+    }
+
+    /** Entries up to a version are on a majority. */
+    void commit(long version) {
+        if (version <= state.version()) {
+            return;
+        }
+        applyTo(version);
+        if (log.baseVersion() + 2 * RETAINED_ENTRIES < state.version()) {
+            log.trimTo(state.version() - RETAINED_ENTRIES);
+        }
+        actions.inForce(epoch, version);
+    }
+
+    private void applyTo(long version) {
+        for (long next = state.version() + 1; next <= version; next++) {
+            LogEntry entry = log.get(next);
+            state.put(entry);
+            state.advance(next, entry.term());
+        }
+    }
+
+    /** Has the committed version on disk, so that a restart serves it without a leader. */
+    void flush() {
+        if (committedOnDisk < state.version()
+                && force(List.of(new DiskRecord.Committed(epoch, state.version())))) {
+            committedOnDisk = state.version();
+        }
+    }
+
+    /**
+     * Takes the committed state of another replica, as this one lacks entries no longer kept. Not
+     * where its log reaches as far: what it has confirmed to a leader must not be dropped.
+     */
+    void install(ConfigState other) {
+        if (other.version() <= log.lastVersion()) {
+            return;
+        }
+        List<DiskRecord> records = new ArrayList<>();
+        records.add(new DiskRecord.Reset(epoch, other.version(), other.term(), other.floor()));
+        other.entries().values().forEach(e -> records.add(new DiskRecord.Content(List.of(e))));
+        if (!force(records)) {
+            return;
+        }
+        state.reset(other.version(), other.term(), other.floor());
+        other.entries().values().forEach(state::put);
+        log.reset(other.version(), other.term());
+        committedOnDisk = other.version();
+        actions.inForce(epoch, other.version());
+    }
+
+    /** After one failed write nothing more is trusted of the disk until a restart. */
+    private boolean force(List<DiskRecord> records) {
+        diskFailed |= !actions.force(records);
+        return !diskFailed;
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/distribution/ServiceFilter.java
@@ -0,0 +1,97 @@
+package passhatch.distribution;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.zip.CRC32C;
+
+/**
+ * A Bloom filter (Bloom, 1970) of the services whose keys a follower subscribes to. Its size does
+ * not depend on their number or names; with 30 services about one key in seventy is told in vain,
+ * which the follower drops.
+ */
+public final class ServiceFilter {
+
+    /** Size of an encoded filter. */
+    public static final int BYTES = 64;
+
+    private static final int BITS = BYTES * Byte.SIZE;
+    private static final int SECOND_HASH_SHIFT = 16;
+
+    private final byte[] bits;
+
+    private ServiceFilter(byte[] bits) {
+        this.bits = bits;
+    }
+
+    /** A filter that all keys pass. */
+    public static ServiceFilter all() {
+        byte[] bits = new byte[BYTES];
+        Arrays.fill(bits, (byte) 0xff);
+        return new ServiceFilter(bits);
+    }
+
+    /** A filter that the keys of these services pass, and those of the whole fleet. */
+    public static ServiceFilter of(Collection<String> services) {
+        ServiceFilter filter = new ServiceFilter(new byte[BYTES]);
+        for (String service : services) {
+            int hash = hash(service);
+            filter.set(hash);
+            filter.set(hash >>> SECOND_HASH_SHIFT);
+        }
+        return filter;
+    }
+
+    /**
+     * An encoded filter.
+     *
+     * @param encoded {@link #BYTES} bytes
+     */
+    public static ServiceFilter decode(byte[] encoded) {
+        if (encoded.length != BYTES) {
+            throw new IllegalArgumentException("a filter has " + BYTES + " bytes");
+        }
+        return new ServiceFilter(encoded.clone());
+    }
+
+    /** As bytes, {@link #BYTES} of them. */
+    public byte[] encode() {
+        return bits.clone();
+    }
+
+    /** Whether a key may be one of those subscribed to; never false for one that is. */
+    public boolean passes(String key) {
+        String service = ConfigKey.serviceOf(key);
+        if (service == null) {
+            return true;
+        }
+        int hash = hash(service);
+        return isSet(hash) && isSet(hash >>> SECOND_HASH_SHIFT);
+    }
+
+    private void set(int hash) {
+        int bit = hash & (BITS - 1);
+        bits[bit / Byte.SIZE] |= (byte) (1 << bit % Byte.SIZE);
+    }
+
+    private boolean isSet(int hash) {
+        int bit = hash & (BITS - 1);
+        return (bits[bit / Byte.SIZE] & 1 << bit % Byte.SIZE) != 0;
+    }
+
+    private static int hash(String service) {
+        CRC32C crc = new CRC32C();
+        crc.update(service.getBytes(StandardCharsets.UTF_8));
+        return (int) crc.getValue();
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceFilter filter && Arrays.equals(bits, filter.bits);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(bits);
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/distribution/Setting.java
@@ -0,0 +1,82 @@
+package passhatch.distribution;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** The settings that this version of the program knows, with the bounds of their values. */
+public enum Setting {
+    /** Time that a call may take, in milliseconds. */
+    DEADLINE_MS(1, 600_000),
+    /** Attempts for a call, the first included. */
+    MAX_ATTEMPTS(1, 3),
+    /** Connections to one backend. */
+    MAX_CONNECTIONS(1, 65_535),
+    /** Calls a second to the service from one proxy; 0 for no limit. */
+    CALLS_PER_SECOND(0, 1_000_000),
+    /** Whether calls are sent at all: 0 or 1. */
+    ENABLED(0, 1);
+
+    private final long least;
+    private final long greatest;
+
+    Setting(long least, long greatest) {
+        this.least = least;
+        this.greatest = greatest;
+    }
+
+    /** Its name as the last part of a key. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Checks a change that is to be made.
+     *
+     * @param value null to delete the key
+     * @throws InvalidChangeException where key or value cannot be used
+     */
+    public static void check(String key, String value) throws InvalidChangeException {
+        if (!ConfigKey.isKey(key)) {
+            throw new InvalidChangeException(
+                    "'"
+                            + key
+                            + "': expected service/NAME/SETTING or fleet/SETTING, "
+                            + ConfigKey.MAX_KEY_LENGTH
+                            + " characters at most");
+        }
+        String label = ConfigKey.settingOf(key);
+        Setting setting =
+                Arrays.stream(values())
+                        .filter(known -> known.label().equals(label))
+                        .findFirst()
+                        .orElseThrow(
+                                () ->
+                                        new InvalidChangeException(
+                                                "'" + label + "': expected one of " + labels()));
+        if (value != null) {
+            setting.checkValue(key, value);
+        }
+    }
+
+    private void checkValue(String key, String value) throws InvalidChangeException {
+        boolean valid =
+                value.matches("\\d{1,9}")
+                        && Long.parseLong(value) >= least
+                        && Long.parseLong(value) <= greatest;
+        if (!valid) {
+            throw new InvalidChangeException(
+                    key
+                            + ": '"
+                            + value
+                            + "': expected a whole number, "
+                            + least
+                            + " to "
+                            + greatest);
+        }
+    }
+
+    private static String labels() {
+        return Arrays.stream(values()).map(Setting::label).collect(Collectors.joining(", "));
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/distribution/Timing.java
@@ -0,0 +1,31 @@
+package passhatch.distribution;
+
+/** Periods and bounds of the protocol, in microseconds unless said otherwise. */
+final class Timing {
+
+    /** Between two appends of a leader to each replica. */
+    static final long HEARTBEAT_US = 250_000;
+
+    /** What was not confirmed for so long is sent again; above the round trip between regions. */
+    static final long RETRY_US = 300_000;
+
+    /** Between two polls of a follower. */
+    static final long POLL_US = 500_000;
+
+    /** A source that has not answered for so long is left for the next one. */
+    static final long SILENCE_US = 1_100_000;
+
+    /** A source that has not known its state to be current for so long is left for the next one. */
+    static final long STALE_US = 1_500_000;
+
+    /** From leaving the preferred source to trying it again, half of it more or less by chance. */
+    static final long RETURN_US = 30_000_000;
+
+    /** A follower that has not polled for so long is forgotten by its source. */
+    static final long FOLLOWER_EXPIRY_US = 10_000_000;
+
+    /** Committed versions reach a replica's disk so late at most, unless an append takes them. */
+    static final long COMMIT_FLUSH_US = 1_000_000;
+
+    private Timing() {}
+}
--- a/src/main/java/passhatch/fleet/CborReader.java
+++ b/src/main/java/passhatch/fleet/CborReader.java
@@ -23,7 +23,7 @@
     }
 
     /** Goes into an array, or to the end of the one around it; whether it was the first. */
-    boolean beginOrEnd() throws IOException {
+    public boolean beginOrEnd() throws IOException {
         JsonToken token = cbor.nextToken();
         require(token == JsonToken.START_ARRAY || token == JsonToken.END_ARRAY);
         return token == JsonToken.START_ARRAY;
@@ -50,18 +50,33 @@
         return value;
     }
 
+    /** A text, or null where there is none. */
+    public String textOrNull() throws IOException {
+        JsonToken token = cbor.nextToken();
+        require(token == JsonToken.VALUE_STRING || token == JsonToken.VALUE_NULL);
+        return token == JsonToken.VALUE_NULL ? null : cbor.getText();
+    }
+
+    /** True or false. */
+    public boolean bool() throws IOException {
+        JsonToken token = cbor.nextToken();
+        require(token == JsonToken.VALUE_TRUE || token == JsonToken.VALUE_FALSE);
+        return token == JsonToken.VALUE_TRUE;
+    }
+
     /** The same within the bounds of an int. */
-    int integer(int least, int most) throws IOException {
+    public int integer(int least, int most) throws IOException {
         return (int) number(least, most);
     }
 
-    byte[] binary() throws IOException {
+    /** Bytes. */
+    public byte[] binary() throws IOException {
         require(cbor.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT);
         return cbor.getBinaryValue();
     }
 
     /** Goes to the end of the array, over fields of a later program. */
-    void passOver() throws IOException {
+    public void passOver() throws IOException {
         JsonToken token = cbor.nextToken();
         while (token != null && token != JsonToken.END_ARRAY) {
             cbor.skipChildren();
--- a/src/test/java/passhatch/ArchitectureTest.java
+++ b/src/test/java/passhatch/ArchitectureTest.java
@@ -69,6 +69,8 @@
                 .definedBy("passhatch.agent..")
                 .layer("release")
                 .definedBy("passhatch.release..")
+                .layer("distribution")
+                .definedBy("passhatch.distribution..")
                 .layer("duty")
                 .definedBy("passhatch.duty..")
                 .layer("fleet")
@@ -89,10 +91,13 @@
                 .mayOnlyBeAccessedByLayers("cli", "lab")
                 .whereLayer("release")
                 .mayOnlyBeAccessedByLayers("cli", "lab", "agent")
+                .whereLayer("distribution")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release")
                 .whereLayer("duty")
                 .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release")
                 .whereLayer("fleet")
-                .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release", "duty")
+                .mayOnlyBeAccessedByLayers(
+                        "cli", "lab", "agent", "release", "distribution", "duty")
                 .whereLayer("store")
                 .mayOnlyBeAccessedByLayers(
                         "cli", "lab", "agent", "release", "duty", "fleet", "proxy")
