Test the datagrams of changes: they fit, are read as written, and nothing else is

Need: every message has to fit into 256 bytes with the longest names and the greatest numbers, and whatever arrives must do no harm. Change: a test by seed over all eleven messages with their bounds, bits flipped, and sealed content of any bytes.

--- /dev/null
+++ b/src/test/java/passhatch/distribution/MessageCodecTest.java
@@ -0,0 +1,151 @@
+package passhatch.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+import passhatch.distribution.Message.Ack;
+import passhatch.distribution.Message.Append;
+import passhatch.distribution.Message.Appended;
+import passhatch.distribution.Message.Behind;
+import passhatch.distribution.Message.Delta;
+import passhatch.distribution.Message.LogPart;
+import passhatch.distribution.Message.LogRequest;
+import passhatch.distribution.Message.Poll;
+import passhatch.distribution.Message.Prepare;
+import passhatch.distribution.Message.Prepared;
+import passhatch.distribution.Message.SnapshotPart;
+import passhatch.fleet.Drop;
+import passhatch.fleet.Frame;
+import passhatch.fleet.Names;
+
+/** Every message fits into a datagram and is read as it was written; nothing else is read. */
+class MessageCodecTest {
+
+    private static final String FLEET = "f".repeat(Names.MOST_LABEL);
+    private static final int ROUNDS = 20_000;
+
+    private final RandomGenerator random = new SplittableRandom(1);
+
+    @Test
+    void everyMessageFitsAndIsReadAsItWasWritten() {
+        for (int round = 0; round < ROUNDS; round++) {
+            Message message = message(round % 11);
+            byte[] datagram = MessageCodec.encode(FLEET, message);
+            assertTrue(datagram.length <= Frame.MOST_BYTES, datagram.length + ": " + message);
+            assertEquals(message, MessageCodec.decode(FLEET, datagram).message());
+        }
+    }
+
+    @Test
+    void whatWasChangedOnTheWayIsNotRead() {
+        for (int round = 0; round < ROUNDS; round++) {
+            byte[] datagram = MessageCodec.encode(FLEET, message(round % 11));
+            datagram[random.nextInt(datagram.length)] ^= (byte) (1 << random.nextInt(8));
+            assertNotNull(MessageCodec.decode(FLEET, datagram).fault());
+        }
+    }
+
+    /** A sender that seals what is no message must do no harm either. */
+    @Test
+    void aSealedDatagramOfAnyContentIsReadOrRefused() {
+        int refused = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            byte[] datagram = MessageCodec.encode(FLEET, message(round % 11));
+            byte[] content = new byte[datagram.length - Frame.HEAD];
+            System.arraycopy(datagram, Frame.HEAD, content, 0, content.length);
+            content[random.nextInt(content.length)] = (byte) random.nextInt(256);
+            byte[] sealed = Frame.of(MessageCodec.FORMAT, content);
+            MessageCodec.Read read = MessageCodec.decode(FLEET, sealed);
+            assertTrue(read.message() == null ^ read.fault() == null);
+            refused += read.fault() == null ? 0 : 1;
+        }
+        assertTrue(refused > ROUNDS / 10, "refused: " + refused);
+    }
+
+    @Test
+    void anotherFleetsDatagramIsRefused() {
+        byte[] datagram = MessageCodec.encode("other", new Ack(1, 1));
+        assertEquals(Drop.FLEET, MessageCodec.decode(FLEET, datagram).fault());
+    }
+
+    private Message message(int kind) {
+        long epoch = number(Integer.MAX_VALUE);
+        long age = number(Integer.MAX_VALUE);
+        return switch (kind) {
+            case 0 -> new Prepare(epoch, large());
+            case 1 -> new Prepared(epoch, large(), large(), large(), large(), large());
+            case 2 -> new LogRequest(epoch, large(), large());
+            case 3 -> {
+                long previous = large();
+                yield new LogPart(
+                        epoch, large(), previous, large(), large(), consecutive(previous));
+            }
+            case 4 -> {
+                long previous = large();
+                yield new Append(
+                        epoch, large(), large(), age, previous, large(), consecutive(previous));
+            }
+            case 5 ->
+                    new Appended(
+                            epoch, large(), random.nextBoolean(), large(), random.nextBoolean());
+            case 6 -> new Behind(epoch, large());
+            case 7 ->
+                    new Poll(
+                            epoch,
+                            large(),
+                            random.nextBoolean() ? key() : null,
+                            ServiceFilter.of(List.of("a", "b" + random.nextInt())),
+                            "n".repeat(1 + random.nextInt(Names.MOST_NAME)));
+            case 8 -> new Ack(epoch, large());
+            case 9 -> new Delta(epoch, large(), large(), large(), age, consecutive(large()));
+            default ->
+                    new SnapshotPart(
+                            epoch,
+                            large(),
+                            large(),
+                            age,
+                            random.nextInt(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            consecutive(large()));
+        };
+    }
+
+    private long number(long bound) {
+        return random.nextBoolean() ? bound : random.nextLong(bound);
+    }
+
+    /** Room for entries after it stays below the greatest version. */
+    private long large() {
+        return number(Long.MAX_VALUE - 100);
+    }
+
+    private String key() {
+        int longest = ConfigKey.MAX_KEY_LENGTH - "service//deadline_ms".length();
+        return "service/" + "s".repeat(1 + random.nextInt(longest)) + "/deadline_ms";
+    }
+
+    private String value() {
+        String character = random.nextBoolean() ? "v" : "\u00e9";
+        int most = ConfigKey.MAX_VALUE_BYTES / (character.equals("v") ? 1 : 2);
+        return random.nextInt(4) == 0 ? null : character.repeat(random.nextInt(most + 1));
+    }
+
+    private List<LogEntry> consecutive(long previous) {
+        List<LogEntry> all = new ArrayList<>();
+        for (int i = 1; i <= 12; i++) {
+            long term = 1 + large();
+            all.add(
+                    random.nextInt(6) == 0
+                            ? LogEntry.noOperation(previous + i, term)
+                            : new LogEntry(previous + i, term, key(), value()));
+        }
+        return DatagramBudget.fitting(all);
+    }
+}
