Run the simulation of duties on the shared event queue

Need: DutySim had an event queue and clock of its own.

Change: it uses lab/sim/EventQueue; its Event record, comparator and order counter are gone.

--- a/src/main/java/passhatch/lab/duty/DutySim.java
+++ b/src/main/java/passhatch/lab/duty/DutySim.java
@@ -1,12 +1,10 @@
 package passhatch.lab.duty;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
@@ -19,6 +17,7 @@
 import passhatch.duty.Promise;
 import passhatch.duty.Voter;
 import passhatch.lab.Seeds;
+import passhatch.lab.sim.EventQueue;
 
 /**
  * Voters and candidates of one duty in simulated time, each with a clock of its own pace, with
@@ -60,8 +59,6 @@
      */
     public record Outcome(String broken, int changes, List<Long> gapsUs, int doubles) {}
 
-    private record Event(long us, long order, Runnable action) {}
-
     /** A process with its clock. */
     private final class Host {
         private final double pace;
@@ -73,7 +70,7 @@
         }
 
         long localUs() {
-            return (long) (nowUs * pace);
+            return (long) (nowUs() * pace);
         }
 
         /** Has something done here, once it is not held. */
@@ -183,22 +180,21 @@
             if (candidate == null || candidate.wakeAtUs() == Long.MAX_VALUE) {
                 return;
             }
-            long at = Math.max(nowUs + 1, (long) Math.ceil((candidate.wakeAtUs() + 1) / host.pace));
-            if (plannedUs <= nowUs || at < plannedUs) {
+            long at =
+                    Math.max(nowUs() + 1, (long) Math.ceil((candidate.wakeAtUs() + 1) / host.pace));
+            if (plannedUs <= nowUs() || at < plannedUs) {
                 plannedUs = at;
                 Candidate then = candidate;
-                events.add(
-                        new Event(
-                                at,
-                                order++,
-                                () ->
-                                        host.run(
-                                                () -> {
-                                                    if (candidate == then) {
-                                                        then.timer(host.localUs());
-                                                        plan();
-                                                    }
-                                                })));
+                events.scheduleAt(
+                        at,
+                        () ->
+                                host.run(
+                                        () -> {
+                                            if (candidate == then) {
+                                                then.timer(host.localUs());
+                                                plan();
+                                            }
+                                        }));
             }
         }
 
@@ -222,7 +218,7 @@
             greatestTerm = Math.max(greatestTerm, term);
             changes++;
             if (freeSinceUs >= 0) {
-                gapsUs.add(nowUs - freeSinceUs);
+                gapsUs.add(nowUs() - freeSinceUs);
             }
         }
 
@@ -245,16 +241,12 @@
     private final DutySettings settings;
     private final Map<String, VoterNode> voters = new HashMap<>();
     private final Map<String, CandidateNode> candidates = new HashMap<>();
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(
-                    Comparator.comparingLong(Event::us).thenComparingLong(Event::order));
+    private final EventQueue<Runnable> events = new EventQueue<>(SECOND);
     private final Set<String> cutOff = new HashSet<>();
     private final Set<String> mute = new HashSet<>();
     private final Fence fence = new Fence(Map.of(), (duty, token) -> true);
     private final List<Long> gapsUs = new ArrayList<>();
     private boolean badNetwork;
-    private long nowUs = SECOND;
-    private long order;
     private long greatestTerm;
     private long carriedOut;
     private long freeSinceUs = -1;
@@ -298,25 +290,33 @@
         for (CandidateNode candidate : candidates.values()) {
             after(random.nextLong(ACT_EVERY_US), () -> actOn(candidate));
         }
-        long end = nowUs + RUN_US;
-        while (!events.isEmpty() && events.peek().us() <= end && broken == null) {
-            Event event = events.poll();
-            nowUs = event.us();
-            if (end - nowUs < CALM_US / 2) {
+        long end = nowUs() + RUN_US;
+        while (broken == null) {
+            Runnable event = events.pollUntil(end);
+            if (event == null) {
+                break;
+            }
+            if (end - nowUs() < CALM_US / 2) {
                 badNetwork = false;
             }
-            event.action().run();
+            event.run();
             look();
         }
-        nowUs = end;
-        if (broken == null && acting() == 0) {
-            fail("nobody holds the duty " + CALM_US / 2 / SECOND + " s after the last fault");
+        if (broken == null) {
+            events.advanceTo(end);
+            if (acting() == 0) {
+                fail("nobody holds the duty " + CALM_US / 2 / SECOND + " s after the last fault");
+            }
         }
         return new Outcome(broken, changes, gapsUs, doubles);
     }
 
+    private long nowUs() {
+        return events.nowUs();
+    }
+
     private void after(long us, Runnable action) {
-        events.add(new Event(nowUs + us, order++, action));
+        events.scheduleAfter(us, action);
     }
 
     private void actOn(CandidateNode candidate) {
@@ -350,13 +350,13 @@
         if (acting > 0) {
             freeSinceUs = -1;
         } else if (freeSinceUs < 0) {
-            freeSinceUs = nowUs;
+            freeSinceUs = nowUs();
         }
     }
 
     private void fail(String what) {
         if (broken == null) {
-            broken = nowUs / 1000 + " ms: " + what;
+            broken = nowUs() / 1000 + " ms: " + what;
         }
     }
 
