Split the tests of the policy by subject into seventeen classes

Need: LogicTest was one file of 1,580 lines with nested classes whose names said little.

Change: one class for each subject, named in the field's terms (ServerSelectionTest, OutlierEjectionTest, RetryTest, SlowStartTest, SubsettingTest, LoadSheddingTest and so on); what they shared, setup() and names(), is in their fixture, Proxy. One test is renamed: aNegativeTimeThatTheyAreKept... is aNegativeKeepaliveTimeIsRefusedByName, as the class that said what "they" are is another now.

Measured: before and after 84 @Test, 0 @ParameterizedTest, 155 assert calls; the 84 method bodies are the same text, white space and line breaks of comments aside. All 84 ran and passed, and the 2 of RulesTest, which use the same fixture.

--- /dev/null
+++ b/src/test/java/passhatch/ConcurrencyLimitTest.java
@@ -0,0 +1,81 @@
+package passhatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static passhatch.Proxy.MS;
+import static passhatch.Proxy.setup;
+
+import org.junit.jupiter.api.Test;
+import passhatch.Balancer.Outcome;
+
+/**
+ * Concurrency limits where only own calls tell, as other copies may crowd a server that looks idle.
+ */
+final class ConcurrencyLimitTest {
+
+    @Test
+    void aServerWhoseLastCallTookAsLongAsTheAimIsLeftAloneForAWhile() {
+        Proxy p = new Proxy(setup()).with("a", "b");
+        for (int i = 0; i < 60; i++) {
+            String r = p.request(Proxy.SAFE);
+            long ms = p.at(r).equals("a") ? 390 : 20;
+            p.pass(ms);
+            p.logic.outcome(p.now, r, 0, p.at(r), Outcome.OK, ms * MS, true, null);
+        }
+        assertEquals("b", p.at(p.request(Proxy.SAFE)));
+        assertEquals("b", p.at(p.request(Proxy.SAFE)), "sent to a server that others crowd");
+        p.pass(4_000);
+        assertEquals("a", p.at(p.request(Proxy.SAFE)), "or it would never be seen to recover");
+    }
+
+    /** Its process is slow at first and the servers are busy: that is no reason to send nothing. */
+    @Test
+    void aCopyThatStartsUnderFullLoadSendsSomeToEachServerWhateverTheFirstCallsTook() {
+        Proxy.Setup setup = setup();
+        setup.copies = 1;
+        Proxy p = new Proxy(setup).with("a", "b");
+        for (int i = 0; i < 4; i++) {
+            String r = p.request(Proxy.SAFE);
+            p.pass(300);
+            p.logic.outcome(p.now, r, 0, p.at(r), Outcome.OK, 300 * MS, true, null);
+        }
+        int before = p.count("send");
+        for (int i = 0; i < 20; i++) {
+            p.request(Proxy.SAFE);
+        }
+        assertEquals(
+                8, p.count("send") - before, "as many as a server may always have, and no more");
+    }
+
+    /**
+     * Serves calls one by one in 20 ms each, then more that take this long; then come three at
+     * once.
+     */
+    private int sentOfThreeAfter(long laterMs, int copies) {
+        Proxy.Setup setup = setup();
+        setup.copies = copies;
+        setup.aimUs = 900 * MS;
+        Proxy p = new Proxy(setup).with("a");
+        for (int i = 0; i < 60; i++) {
+            long ms = i < 20 ? 20 : laterMs;
+            String r = p.request(Proxy.SAFE);
+            p.pass(ms);
+            p.logic.outcome(p.now, r, 0, "a", Outcome.OK, ms * MS, true, null);
+        }
+        for (int i = 0; i < 3; i++) {
+            p.request(Proxy.SAFE);
+        }
+        return p.count("send") - 60;
+    }
+
+    @Test
+    void callsWaitHereRatherThanInTheQueuesOfServersThatTakeFarLongerThanWhenCalm() {
+        assertEquals(3, sentOfThreeAfter(20, 3), "no time was lost with others there");
+        assertEquals(2, sentOfThreeAfter(80, 3), "the aim has room for more, the server has not");
+    }
+
+    @Test
+    void theMoreCopiesShareAServerTheFewerCallsEachHasThereWhileItIsCrowded() {
+        assertEquals(3, sentOfThreeAfter(20, 8));
+        assertEquals(1, sentOfThreeAfter(80, 8), "each of eight copies with two would be a crowd");
+    }
+}
--- a/src/test/java/passhatch/Proxy.java
+++ b/src/test/java/passhatch/Proxy.java
@@ -95,6 +95,20 @@
         }
     }
 
+    /** Settings as they usually are, to be varied. */
+    static Setup setup() {
+        return new Setup();
+    }
+
+    /** So many addresses of servers. */
+    static String[] names(int count) {
+        String[] names = new String[count];
+        for (int i = 0; i < count; i++) {
+            names[i] = "10.0.0." + i + ":80";
+        }
+        return names;
+    }
+
     final Logic logic;
     final List<String> done = new ArrayList<>();
     private final List<String> probed = new ArrayList<>();
