Add scale latency and scale proxy, which measure proxies of several sizes

Need: what a proxy adds to a call and what its control side costs were known from single runs at one size only. Change: 'passhatch-lab scale latency' gives the same open load direct and through proxies in a row; a step in which the load tool fell behind has no figure, and the command ends with 1. 'scale proxy' measures memory, threads, processor share and discovery traffic by length of list and rate of changes, with least squares lines. Both write result.json and a plot. LoadPlan gets the sender's tick, DiscoveryServer counts the bytes that it sends, and ProxyChild and Child can be used by other tools.

--- a/src/main/java/passhatch/lab/drill/Child.java
+++ b/src/main/java/passhatch/lab/drill/Child.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A process of the program that a drill has started. Ended by its own handle, never by a name. */
-final class Child {
+public final class Child {
 
     private static final int LOG_END_LINES = 12;
 
@@ -39,11 +39,13 @@
         process = builder.start();
     }
 
-    synchronized boolean alive() {
+    /** Whether it runs. */
+    public synchronized boolean alive() {
         return process != null && process.isAlive();
     }
 
-    synchronized long pid() {
+    /** Its process id; -1 before the first start. */
+    public synchronized long pid() {
         return process == null ? -1 : process.pid();
     }
 
@@ -82,7 +84,7 @@
     }
 
     /** SIGTERM, and SIGKILL after the patience; also where it is held by SIGSTOP. */
-    void end(long patienceMs) {
+    public void end(long patienceMs) {
         try {
             signal("CONT");
             if (signal("TERM") && !awaitEnd(patienceMs)) {
@@ -98,14 +100,14 @@
     }
 
     /** Ends it at once, whatever it is at. */
-    synchronized void endNow() {
+    public synchronized void endNow() {
         if (alive()) {
             process.destroyForcibly();
         }
     }
 
     /** The last lines of its log. */
-    String logEnd() {
+    public String logEnd() {
         try {
             List<String> lines = Files.readAllLines(log, StandardCharsets.ISO_8859_1);
             return String.join(
--- a/src/main/java/passhatch/lab/drill/DrillCommand.java
+++ b/src/main/java/passhatch/lab/drill/DrillCommand.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +16,7 @@
 import passhatch.cli.CommandGroup;
 import passhatch.cli.Commands;
 import passhatch.lab.LabLog;
+import passhatch.lab.ProgramJar;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -93,7 +93,7 @@
             if (repeat < 1) {
                 throw new BadInput("--repeat: expected 1 or more");
             }
-            Path program = program(jar);
+            Path program = ProgramJar.find(jar);
             boolean holds = true;
             for (int i = 1; i <= repeat; i++) {
                 Path folder =
@@ -249,27 +249,4 @@
         }
         Files.createDirectories(folder);
     }
-
-    private static Path program(Path given) {
-        Path jar = given != null ? given : besideThis();
-        if (!Files.isRegularFile(jar)) {
-            throw new BadInput(jar + ": there is no such program; build it, or name it with --jar");
-        }
-        return jar.toAbsolutePath();
-    }
-
-    private static Path besideThis() {
-        try {
-            Path own =
-                    Path.of(
-                            DrillCommand.class
-                                    .getProtectionDomain()
-                                    .getCodeSource()
-                                    .getLocation()
-                                    .toURI());
-            return own.resolveSibling("passhatch.jar");
-        } catch (URISyntaxException cannotBe) {
-            throw new IllegalStateException(cannotBe);
-        }
-    }
 }
--- a/src/main/java/passhatch/lab/drill/ProxyChild.java
+++ b/src/main/java/passhatch/lab/drill/ProxyChild.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One proxy as a process of its own, with its configuration, its addresses and its log. */
-final class ProxyChild {
+public final class ProxyChild {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -22,12 +22,36 @@
     private static final long POLL_MS = 10;
 
     /** What all proxies of a drill have in common. */
-    record Shared(
+    public record Shared(
             Path jar,
             Path folder,
             Scenario scenario,
             InetSocketAddress discovery,
-            List<String> options) {}
+            List<String> options) {
+
+        /**
+         * For proxies that run without a scenario: one balancer with retries, and the classes of
+         * requests that a scenario has by default.
+         */
+        public static Shared alone(
+                Path jar,
+                Path folder,
+                long seed,
+                int memoryMb,
+                InetSocketAddress discovery,
+                List<String> options) {
+            String scenario =
+                    """
+                    name = "alone"
+                    seed = %d
+                    proxies = {count = 1, memory_mb = %d}
+                    expect = {lost = 0}
+                    """
+                            .formatted(seed, memoryMb);
+            return new Shared(
+                    jar, folder, ScenarioReader.read("alone", scenario), discovery, options);
+        }
+    }
 
     private final int number;
     private final Shared shared;
@@ -39,7 +63,7 @@
     private Child child;
 
     /** A proxy that is not started yet; its folder is made. */
-    ProxyChild(
+    public ProxyChild(
             int number, Shared shared, List<InetSocketAddress> peers, InetSocketAddress peerListen)
             throws IOException {
         this.number = number;
@@ -50,7 +74,8 @@
         chooseAddresses();
     }
 
-    String name() {
+    /** Its name in logs and reports. */
+    public String name() {
         return "proxy-" + (number + 1);
     }
 
@@ -58,11 +83,13 @@
         return number;
     }
 
-    InetSocketAddress listen() {
+    /** Where it takes calls; final once it has started. */
+    public InetSocketAddress listen() {
         return listen;
     }
 
-    Child child() {
+    /** Its process. */
+    public Child child() {
         return child;
     }
 
@@ -203,7 +230,7 @@
     }
 
     /** Starts it for the first time; where its port was taken meanwhile, at others. */
-    void firstStart() throws IOException, InterruptedException {
+    public void firstStart() throws IOException, InterruptedException {
         for (int i = 1; ; i++) {
             child.start();
             // A taken port shows as an end within the start; all else shows later, as it does not
@@ -225,7 +252,7 @@
     }
 
     /** Waits until it says that it is ready; false where it has ended or the time is over. */
-    boolean awaitReady(long ms) throws InterruptedException {
+    public boolean awaitReady(long ms) throws InterruptedException {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
         while (System.nanoTime() < endNs && child.alive()) {
             if (ready()) {
--- a/src/main/java/passhatch/lab/load/LoadPlan.java
+++ b/src/main/java/passhatch/lab/load/LoadPlan.java
@@ -13,6 +13,8 @@
  * @param connections that are kept to each proxy at most; more are opened when all are busy, and
  *     closed after
  * @param threads that send
+ * @param tickUs how often the sender looks for requests that are due, in microseconds; a short one
+ *     keeps its thread always busy
  * @param kinds the classes of requests with their shares
  */
 public record LoadPlan(
@@ -22,8 +24,24 @@
         int retries,
         int connections,
         int threads,
+        long tickUs,
         List<Kind> kinds) {
 
+    /** Often enough for a drill's times. */
+    public static final long DRILL_TICK_US = 500;
+
+    /** A load as drills give it. */
+    public LoadPlan(
+            double rate,
+            boolean even,
+            long durationMs,
+            int retries,
+            int connections,
+            int threads,
+            List<Kind> kinds) {
+        this(rate, even, durationMs, retries, connections, threads, DRILL_TICK_US, kinds);
+    }
+
     /** How a request may be repeated. */
     public enum Effect {
         SAFE,
--- a/src/main/java/passhatch/lab/load/Sender.java
+++ b/src/main/java/passhatch/lab/load/Sender.java
@@ -14,8 +14,6 @@
 /** One thread's part of the load, with its own connections and its own tally. */
 final class Sender {
 
-    private static final long TICK_US = 500;
-
     /**
      * Connections that a thread may have open: past that requests wait, and their waiting counts.
      */
@@ -69,7 +67,7 @@
 
     void begin(long atNs) {
         beganNs = atNs;
-        loop.scheduleAtFixedRate(this::tick, 0, TICK_US, TimeUnit.MICROSECONDS);
+        loop.scheduleAtFixedRate(this::tick, 0, plan.tickUs(), TimeUnit.MICROSECONDS);
     }
 
     Promise<Tally> done() {
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/LatencyCommand.java
@@ -0,0 +1,262 @@
+package passhatch.lab.scale;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import passhatch.agent.config.BadInput;
+import passhatch.lab.Seeds;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code scale latency}. */
+@Command(
+        name = "latency",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measures the time that proxies add to a call: the same open load direct, and through"
+                    + " several proxies in a row.",
+            "Exit code 1, and no figure for the step, where the load tool itself fell behind."
+        })
+final class LatencyCommand implements Callable<Integer> {
+
+    private static final String NAME = "latency";
+    private static final String TOPOLOGY =
+            "each proxy's list has one entry, the next proxy; the last one's has the backends;"
+                    + " there are no services between them";
+    private static final int MEMORY_MB = 144;
+    private static final int MOST_ENTRIES = 5_000;
+    private static final int MOST_RATE = 20_000;
+    private static final int MOST_DEPTH = 20;
+    private static final int MOST_TRIES = 10;
+    private static final int MOST_BEHIND_US = 10_000_000;
+    private static final int WARM_UP_RATE = 400;
+    private static final int WARM_UP_S = 3;
+
+    @Spec private CommandSpec spec;
+    @Mixin private ScaleOptions options;
+
+    @Option(
+            names = "--paths",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "1,2,7",
+            description = "Proxies in a row, beside direct calls; default: ${DEFAULT-VALUE}.")
+    private List<Integer> paths;
+
+    @Option(
+            names = "--rates",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "100,400,1600,3200",
+            description = "Calls a second; default: ${DEFAULT-VALUE}.")
+    private List<Integer> rates;
+
+    @Option(
+            names = "--sizes",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "10,100,1000",
+            description =
+                    "Lengths of the last proxy's list; the first is measured at all rates, the"
+                            + " others at the first rate only. Default: ${DEFAULT-VALUE}.")
+    private List<Integer> sizes;
+
+    @Option(
+            names = "--behind-us",
+            defaultValue = "250",
+            description =
+                    "A step is void where a hundredth of its calls went out later than this after"
+                            + " they were due; default: ${DEFAULT-VALUE}.")
+    private int behindUs;
+
+    @Option(
+            names = "--tries",
+            defaultValue = "3",
+            description = "How often a void step is given in all; default: ${DEFAULT-VALUE}.")
+    private int tries;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        ScaleOptions.within("--paths", paths, 1, MOST_DEPTH);
+        ScaleOptions.within("--rates", rates, 1, MOST_RATE);
+        ScaleOptions.within("--sizes", sizes, 1, MOST_ENTRIES);
+        if (behindUs < 1 || behindUs > MOST_BEHIND_US) {
+            throw new BadInput("--behind-us: expected 1 to " + MOST_BEHIND_US);
+        }
+        if (tries < 1 || tries > MOST_TRIES) {
+            throw new BadInput("--tries: expected 1 to " + MOST_TRIES);
+        }
+        options.seconds();
+        options.program();
+        Path folder = options.folder(NAME);
+        LatencyResult result = measure(folder);
+        ScaleOptions.write(folder.resolve("result.json"), result);
+        plot(result, folder.resolve("plot.png"));
+        tell(result, folder);
+        return result.tooBusy() ? 1 : 0;
+    }
+
+    private LatencyResult measure(Path folder) throws IOException, InterruptedException {
+        double loadBefore = Machine.loadAverage();
+        List<LatencyResult.Step> steps = new ArrayList<>();
+        int planned = (paths.size() + 1) * (rates.size() + sizes.size() - 1);
+        ProxyField field =
+                new ProxyField(
+                        options.program(), folder, options.seed(), MEMORY_MB, options.jvmOptions());
+        try (var progress = options.progress(NAME, planned);
+                ProxyChain chain =
+                        new ProxyChain(
+                                field,
+                                Collections.max(paths),
+                                Collections.max(sizes),
+                                options.seed())) {
+            LatencyMeasure measure =
+                    new LatencyMeasure(
+                            chain, new Seeds(options.seed()), options.seconds(), behindUs, tries);
+            for (int size : sizes) {
+                chain.list(size);
+                measure.warmUp(0, WARM_UP_RATE, WARM_UP_S);
+                measure.warmUp(Collections.max(paths), WARM_UP_RATE, WARM_UP_S);
+                for (int rate : size == sizes.get(0) ? rates : rates.subList(0, 1)) {
+                    steps.addAll(atRate(measure, size, rate, progress));
+                }
+            }
+        }
+        List<LatencyResult.Added> added = added(steps);
+        return new LatencyResult(
+                options.seed(),
+                options.seconds(),
+                TOPOLOGY,
+                Limits.ADDED_P99_US,
+                Machine.since(loadBefore),
+                steps.stream().anyMatch(LatencyResult.Step::tooBusy),
+                steps,
+                added,
+                verdicts(added));
+    }
+
+    /** All paths at one load, close together in time. */
+    private List<LatencyResult.Step> atRate(
+            LatencyMeasure measure, int size, int rate, ScaleOptions.Progress progress)
+            throws IOException, InterruptedException {
+        List<LatencyResult.Step> steps = new ArrayList<>();
+        steps.add(measure.step(0, size, rate));
+        progress.step(size + " entries, " + rate + " calls/s, direct");
+        for (int passes : paths) {
+            steps.add(measure.step(passes, size, rate));
+            progress.step(size + " entries, " + rate + " calls/s, " + passes + " proxies");
+        }
+        return steps;
+    }
+
+    /** Paths less the direct one, where neither is void nor saturated. */
+    static List<LatencyResult.Added> added(List<LatencyResult.Step> steps) {
+        List<LatencyResult.Added> added = new ArrayList<>();
+        for (LatencyResult.Step path : steps) {
+            steps.stream()
+                    .filter(s -> s.proxies() == 0 && path.proxies() > 0)
+                    .filter(s -> s.entries() == path.entries())
+                    .filter(s -> s.callsPerSecond() == path.callsPerSecond())
+                    .filter(s -> !s.tooBusy() && !path.tooBusy() && !path.saturated())
+                    .findFirst()
+                    .ifPresent(direct -> added.add(LatencyResult.Added.of(direct, path)));
+        }
+        return added;
+    }
+
+    private static List<Verdict> verdicts(List<LatencyResult.Added> added) {
+        return added.stream()
+                .filter(a -> a.proxies() == Limits.PATH_DEPTH)
+                .map(
+                        a ->
+                                Verdict.of(
+                                        "added at p99, 7 proxies, "
+                                                + a.entries()
+                                                + " entries, "
+                                                + a.callsPerSecond()
+                                                + " calls/s",
+                                        "us",
+                                        a.p99Us(),
+                                        Limits.ADDED_P99_US,
+                                        false))
+                .toList();
+    }
+
+    private void plot(LatencyResult result, Path file) throws IOException {
+        Plot plot = new Plot("Time added at p99", "calls a second", "microseconds");
+        for (int passes : paths) {
+            List<LatencyResult.Added> line =
+                    result.added().stream()
+                            .filter(a -> a.proxies() == passes && a.entries() == sizes.get(0))
+                            .toList();
+            plot.add(
+                    passes + " proxies",
+                    line.stream().map(LatencyResult.Added::callsPerSecond).toList(),
+                    line.stream().map(LatencyResult.Added::p99Us).toList());
+        }
+        plot.write(file);
+    }
+
+    private void tell(LatencyResult result, Path folder) {
+        PrintWriter text = spec.commandLine().getOut();
+        for (LatencyResult.Step s : result.steps()) {
+            text.println(line(s));
+        }
+        for (LatencyResult.Added a : result.added()) {
+            text.printf(
+                    Locale.ROOT,
+                    "added: %d proxies, %4d entries, %5d calls/s: p50 %d us, p99 %d us, p99.9 %d"
+                            + " us; p99 is %.2f of the direct call's%n",
+                    a.proxies(),
+                    a.entries(),
+                    a.callsPerSecond(),
+                    a.p50Us(),
+                    a.p99Us(),
+                    a.p999Us(),
+                    a.ratioP99());
+        }
+        result.verdicts().forEach(v -> text.println(v.text()));
+        text.println("Result: " + folder.resolve("result.json"));
+        text.flush();
+    }
+
+    private static String line(LatencyResult.Step s) {
+        String where =
+                String.format(
+                        Locale.ROOT,
+                        "%d proxies, %4d entries, %5d calls/s: ",
+                        s.proxies(),
+                        s.entries(),
+                        s.callsPerSecond());
+        if (s.tooBusy()) {
+            return where
+                    + String.format(
+                            Locale.ROOT,
+                            "too busy to measure (calls sent late: p99 %.0f us)",
+                            s.behindP99Us());
+        }
+        return where
+                + String.format(
+                        Locale.ROOT,
+                        "p50 %d us, p99 %d us, p99.9 %d us, served %.4f%s%s",
+                        s.latencyUs().p50(),
+                        s.latencyUs().p99(),
+                        s.latencyUs().p999(),
+                        s.servedShare(),
+                        s.processorUsPerCall() == null
+                                ? ""
+                                : String.format(
+                                        Locale.ROOT,
+                                        ", %.0f us of processor a call and proxy",
+                                        s.processorUsPerCall()),
+                        s.saturated() ? ", SATURATED" : "");
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/Plot.java
@@ -0,0 +1,45 @@
+package passhatch.lab.scale;
+
+import java.awt.Color;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+
+/** Plots with a logarithmic x axis, as sizes and rates are steps of a factor. */
+final class Plot {
+
+    private static final int WIDTH = 900;
+    private static final int HEIGHT = 500;
+
+    private final XYChart chart;
+
+    Plot(String title, String x, String y) {
+        chart =
+                new XYChartBuilder()
+                        .width(WIDTH)
+                        .height(HEIGHT)
+                        .title(title)
+                        .xAxisTitle(x)
+                        .yAxisTitle(y)
+                        .build();
+        chart.getStyler().setChartBackgroundColor(Color.WHITE).setLegendVisible(true);
+        chart.getStyler().setXAxisLogarithmic(true);
+    }
+
+    /** Adds a line; one without points is left out. */
+    void add(String name, List<? extends Number> x, List<? extends Number> y) {
+        if (!x.isEmpty()) {
+            chart.addSeries(name, x, y);
+        }
+    }
+
+    /** Writes a PNG file; nothing where no line has any points. */
+    void write(Path file) throws IOException {
+        if (!chart.getSeriesMap().isEmpty()) {
+            BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/ProxyChain.java
@@ -0,0 +1,131 @@
+package passhatch.lab.scale;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import passhatch.lab.Seeds;
+import passhatch.lab.drill.ProxyChild;
+import passhatch.lab.standin.BackendServer;
+import passhatch.lab.standin.DiscoveryServer;
+import passhatch.lab.standin.Ledger;
+import passhatch.lab.standin.ServiceTime;
+
+/**
+ * Proxies in a row before stand-in backends: the list of each proxy has one entry, the next proxy,
+ * and that of the last one has the backends. A call may enter at any of them.
+ *
+ * <p>There are no services between the proxies. What a path adds is its time less that of a direct
+ * call, so services would only add to both what they take themselves.
+ */
+final class ProxyChain implements Closeable {
+
+    private static final int STAND_IN_THREADS = 2;
+
+    /** Backends answer at once, as what is measured lies before them. */
+    private static final BackendServer.Shape SHAPE =
+            new BackendServer.Shape(
+                    1 << 16,
+                    1 << 16,
+                    1 << 16,
+                    1 << 12,
+                    new ServiceTime(ServiceTime.Distribution.CONSTANT, 0, 0),
+                    1,
+                    0);
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(
+                    STAND_IN_THREADS,
+                    new DefaultThreadFactory("stand-in", true),
+                    NioIoHandler.newFactory());
+    private final EventLoop backendLoop = group.next();
+    private final EventLoop discoveryLoop = group.next();
+    private final List<BackendServer> backends = new ArrayList<>();
+
+    /** From the last proxy to the first, as they are started. */
+    private final List<ProxyChild> proxies = new ArrayList<>();
+
+    private final DiscoveryServer lastDiscovery = new DiscoveryServer(discoveryLoop);
+    private final ProxyField field;
+    private int listed;
+
+    /** Starts as many proxies and backends; the list of the last has all backends. */
+    ProxyChain(ProxyField field, int depth, int backendCount, long seed)
+            throws IOException, InterruptedException {
+        this.field = field;
+        try {
+            startBackends(backendCount, new Seeds(seed));
+            lastDiscovery.start();
+            list(backendCount);
+            startProxies(depth);
+        } catch (IOException | InterruptedException | RuntimeException failed) {
+            close();
+            throw failed;
+        }
+    }
+
+    private void startBackends(int count, Seeds seeds) throws IOException {
+        Ledger ledger = new Ledger();
+        for (int i = 0; i < count; i++) {
+            String name = "backend-" + i;
+            BackendServer backend =
+                    new BackendServer(name, SHAPE, backendLoop, ledger, seeds.stream(name));
+            backend.start();
+            backends.add(backend);
+        }
+    }
+
+    private void startProxies(int depth) throws IOException, InterruptedException {
+        DiscoveryServer discovery = lastDiscovery;
+        for (int i = 1; i <= depth; i++) {
+            ProxyChild proxy = field.start("before-end-" + i, discovery.address());
+            proxies.add(proxy);
+            discovery = new DiscoveryServer(discoveryLoop);
+            discovery.start();
+            discovery.update(
+                    List.of(
+                            new DiscoveryServer.Entry(
+                                    "next-of-" + i, proxy.listen(), "SERVING", 0)));
+        }
+    }
+
+    /** Has the last proxy's list hold only so many backends. */
+    void list(int count) {
+        List<DiscoveryServer.Entry> changed = new ArrayList<>();
+        for (int i = Math.min(count, listed); i < Math.max(count, listed); i++) {
+            BackendServer backend = backends.get(i);
+            changed.add(
+                    new DiscoveryServer.Entry(
+                            backend.name(),
+                            backend.address(),
+                            i < count ? "SERVING" : "DELETED",
+                            0));
+        }
+        listed = count;
+        if (!changed.isEmpty()) {
+            lastDiscovery.update(changed);
+        }
+    }
+
+    /** Where a call enters that shall pass so many proxies; with 0, a backend. */
+    InetSocketAddress entrance(int passes) {
+        return passes == 0 ? backends.get(0).address() : proxies.get(passes - 1).listen();
+    }
+
+    /** The processes that such a call passes. */
+    List<ProxyChild> passed(int passes) {
+        return proxies.subList(0, passes);
+    }
+
+    @Override
+    public void close() {
+        field.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/ProxyCommand.java
@@ -0,0 +1,223 @@
+package passhatch.lab.scale;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
+import passhatch.agent.config.BadInput;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code scale proxy}. */
+@Command(
+        name = "proxy",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measures memory, threads, processor share and discovery traffic of a proxy without"
+                    + " calls, by the length of its list and the rate of changes.",
+            "Exit code 1 where a proxy fell over or did not get ready."
+        })
+final class ProxyCommand implements Callable<Integer> {
+
+    private static final String NAME = "proxy";
+    private static final int MOST_ENTRIES = 50_000;
+    private static final int MOST_CHANGES = 1_000;
+    private static final int LEAST_MEMORY_MB = 64;
+    private static final int MOST_MEMORY_MB = 4_096;
+    private static final double SECONDS_A_DAY = 86_400;
+    private static final double KB_PER_MB = 1_024;
+
+    @Spec private CommandSpec spec;
+    @Mixin private ScaleOptions options;
+
+    @Option(
+            names = "--sizes",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "10,100,1000,10000",
+            description = "Lengths of the list; default: ${DEFAULT-VALUE}.")
+    private List<Integer> sizes;
+
+    @Option(
+            names = "--changes",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "0,1,10,100",
+            description = "Changes of the list a second; default: ${DEFAULT-VALUE}.")
+    private List<Integer> changes;
+
+    @Option(
+            names = "--memory-mb",
+            defaultValue = "128",
+            description = "Memory that the proxy is told to keep to; default: ${DEFAULT-VALUE}.")
+    private int memoryMb;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        ScaleOptions.within("--sizes", sizes, 1, MOST_ENTRIES);
+        ScaleOptions.within("--changes", changes, 0, MOST_CHANGES);
+        if (memoryMb < LEAST_MEMORY_MB || memoryMb > MOST_MEMORY_MB) {
+            throw new BadInput(
+                    "--memory-mb: expected " + LEAST_MEMORY_MB + " to " + MOST_MEMORY_MB);
+        }
+        options.seconds();
+        options.program();
+        Path folder = options.folder(NAME);
+        ProxyResult result = measure(folder);
+        ScaleOptions.write(folder.resolve("result.json"), result);
+        plot(result, folder.resolve("plot.png"));
+        tell(result, folder);
+        return result.failures().isEmpty() ? 0 : 1;
+    }
+
+    private ProxyResult measure(Path folder) throws InterruptedException {
+        double loadBefore = Machine.loadAverage();
+        ProxyMeasure measure = new ProxyMeasure(options, folder, memoryMb);
+        List<ProxyResult.Point> points = new ArrayList<>();
+        try (var progress = options.progress(NAME, sizes.size() * changes.size())) {
+            for (int size : sizes) {
+                points.addAll(measure.measure(size, changes, progress));
+            }
+        }
+        List<ProxyResult.Fit> fits = fits(points);
+        return new ProxyResult(
+                options.seed(),
+                memoryMb,
+                options.seconds(),
+                Machine.since(loadBefore),
+                points,
+                fits,
+                measure.failures(),
+                verdicts(fits));
+    }
+
+    private List<ProxyResult.Fit> fits(List<ProxyResult.Point> points) {
+        List<ProxyResult.Fit> fits = new ArrayList<>();
+        for (int rate : changes) {
+            List<ProxyResult.Point> same =
+                    points.stream().filter(p -> p.changesPerSecond() == rate).toList();
+            addFits(fits, "entries", rate, same, ProxyResult.Point::entries);
+        }
+        for (int size : sizes) {
+            List<ProxyResult.Point> same =
+                    points.stream().filter(p -> p.entries() == size).toList();
+            addFits(fits, "changes/s", size, same, ProxyResult.Point::changesPerSecond);
+        }
+        return fits;
+    }
+
+    private static void addFits(
+            List<ProxyResult.Fit> fits,
+            String over,
+            int at,
+            List<ProxyResult.Point> points,
+            ToDoubleFunction<ProxyResult.Point> x) {
+        double[] xs = points.stream().mapToDouble(x).toArray();
+        if (java.util.Arrays.stream(xs).distinct().count() < 2) {
+            return;
+        }
+        fits.add(fit("memory MB", over, at, xs, points, p -> p.usage().residentKb() / KB_PER_MB));
+        fits.add(fit("processor share", over, at, xs, points, ProxyResult.Point::processorShare));
+        fits.add(
+                fit(
+                        "discovery bytes/s",
+                        over,
+                        at,
+                        xs,
+                        points,
+                        ProxyResult.Point::discoveryBytesPerSecond));
+    }
+
+    private static ProxyResult.Fit fit(
+            String quantity,
+            String over,
+            int at,
+            double[] xs,
+            List<ProxyResult.Point> points,
+            ToDoubleFunction<ProxyResult.Point> y) {
+        return new ProxyResult.Fit(
+                quantity, over, at, LinearFit.of(xs, points.stream().mapToDouble(y).toArray()));
+    }
+
+    /** The whole fleet in one list, at rest, and with its changes by the day. */
+    private static List<Verdict> verdicts(List<ProxyResult.Fit> fits) {
+        List<Verdict> verdicts = new ArrayList<>();
+        double changesPerSecond = Limits.CHANGES_PER_DAY / SECONDS_A_DAY;
+        for (ProxyResult.Fit fit : fits) {
+            LinearFit line = fit.line();
+            if (fit.over().equals("entries") && fit.at() == 0) {
+                verdicts.add(
+                        verdict(
+                                fit.quantity(),
+                                ", at rest, " + Limits.BACKENDS + " entries",
+                                line.at(Limits.BACKENDS),
+                                line.extrapolates(Limits.BACKENDS)));
+            } else if (fit.over().equals("changes/s")) {
+                verdicts.add(
+                        verdict(
+                                fit.quantity(),
+                                ", " + fit.at() + " entries, a day's changes",
+                                line.at(changesPerSecond),
+                                line.extrapolates(changesPerSecond)));
+            }
+        }
+        return verdicts;
+    }
+
+    private static Verdict verdict(
+            String quantity, String where, double value, boolean extrapolated) {
+        double limit =
+                switch (quantity) {
+                    case "memory MB" -> Limits.MEMORY_MB;
+                    case "processor share" -> Limits.PROCESSOR_SHARE;
+                    default -> Limits.BYTES_PER_SECOND;
+                };
+        return Verdict.of(quantity + where, "", value, limit, extrapolated);
+    }
+
+    private void plot(ProxyResult result, Path file) throws IOException {
+        Plot plot = new Plot("Resident memory of a proxy", "entries", "MB");
+        for (int rate : changes) {
+            List<ProxyResult.Point> same =
+                    result.points().stream().filter(p -> p.changesPerSecond() == rate).toList();
+            plot.add(
+                    rate + " changes/s",
+                    same.stream().map(ProxyResult.Point::entries).toList(),
+                    same.stream().map(p -> p.usage().residentKb() / KB_PER_MB).toList());
+        }
+        plot.write(file);
+    }
+
+    private void tell(ProxyResult result, Path folder) {
+        PrintWriter text = spec.commandLine().getOut();
+        for (ProxyResult.Point p : result.points()) {
+            text.printf(
+                    Locale.ROOT,
+                    "%6d entries, %4d changes/s: %6.1f MB resident, %s, %3d threads,"
+                            + " %5.2f %% of a core, %9.0f bytes/s%n",
+                    p.entries(),
+                    p.changesPerSecond(),
+                    p.usage().residentKb() / KB_PER_MB,
+                    p.usage().proportionalKb() == null
+                            ? "no Pss"
+                            : String.format(
+                                    Locale.ROOT,
+                                    "%.1f MB Pss",
+                                    p.usage().proportionalKb() / KB_PER_MB),
+                    p.usage().threads(),
+                    100 * p.processorShare(),
+                    p.discoveryBytesPerSecond());
+        }
+        result.verdicts().forEach(v -> text.println(v.text()));
+        result.failures().forEach(f -> text.println("FELL OVER: " + f));
+        text.println("Result: " + folder.resolve("result.json"));
+        text.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/ProxyField.java
@@ -0,0 +1,83 @@
+package passhatch.lab.scale;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import passhatch.lab.drill.ProxyChild;
+
+/** Proxies that were started for a measurement, each a process; all of them end with it. */
+final class ProxyField implements Closeable {
+
+    private static final long READY_WITHIN_MS = 20_000;
+    private static final long END_PATIENCE_MS = 5_000;
+
+    private final Path jar;
+    private final Path folder;
+    private final long seed;
+    private final int memoryMb;
+    private final List<String> jvmOptions;
+    private final List<ProxyChild> proxies = new ArrayList<>();
+
+    /** Ends the processes also where this JVM is told to end. */
+    private final Thread lastResort = new Thread(this::endNow, "end-of-measurement");
+
+    ProxyField(Path jar, Path folder, long seed, int memoryMb, List<String> jvmOptions) {
+        this.jar = jar;
+        this.folder = folder;
+        this.seed = seed;
+        this.memoryMb = memoryMb;
+        this.jvmOptions = jvmOptions;
+        Runtime.getRuntime().addShutdownHook(lastResort);
+    }
+
+    /**
+     * Starts one that is alone, without peers to exchange with, and waits until it is ready.
+     *
+     * @throws IOException where it does not get ready; the message has the end of its log
+     */
+    ProxyChild start(String name, InetSocketAddress discovery)
+            throws IOException, InterruptedException {
+        InetSocketAddress peerListen = freeDatagramPort();
+        var shared =
+                ProxyChild.Shared.alone(
+                        jar, folder.resolve(name), seed, memoryMb, discovery, jvmOptions);
+        ProxyChild proxy = new ProxyChild(0, shared, List.of(peerListen), peerListen);
+        proxies.add(proxy);
+        proxy.firstStart();
+        if (!proxy.awaitReady(READY_WITHIN_MS)) {
+            throw new IOException(
+                    name
+                            + (proxy.child().alive() ? " did not get ready" : " ended")
+                            + " within "
+                            + READY_WITHIN_MS
+                            + " ms of its start; the end of its log:\n"
+                            + proxy.child().logEnd());
+        }
+        return proxy;
+    }
+
+    private static InetSocketAddress freeDatagramPort() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    @Override
+    public void close() {
+        proxies.parallelStream().forEach(p -> p.child().end(END_PATIENCE_MS));
+        try {
+            Runtime.getRuntime().removeShutdownHook(lastResort);
+        } catch (IllegalStateException ending) {
+            // The JVM is on its way out: the hook runs, and finds nothing left to end.
+        }
+    }
+
+    private void endNow() {
+        proxies.forEach(p -> p.child().endNow());
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/ProxyMeasure.java
@@ -0,0 +1,137 @@
+package passhatch.lab.scale;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import passhatch.lab.Seeds;
+import passhatch.lab.drill.ProxyChild;
+import passhatch.lab.standin.DiscoveryServer;
+
+/**
+ * Measures one proxy after the other, a new process for each length of the list. No calls are
+ * given, so the addresses in the list need no listener.
+ */
+final class ProxyMeasure {
+
+    private static final long SETTLE_MS = 5_000;
+    private static final int LISTED_PORT = 9;
+    private static final int HOSTS_A_NETWORK = 250;
+
+    private final ScaleOptions options;
+    private final Path folder;
+    private final int memoryMb;
+    private final List<String> failures = new ArrayList<>();
+
+    ProxyMeasure(ScaleOptions options, Path folder, int memoryMb) {
+        this.options = options;
+        this.folder = folder;
+        this.memoryMb = memoryMb;
+    }
+
+    /** What went wrong so far. */
+    List<String> failures() {
+        return failures;
+    }
+
+    /** Measures one length at all rates of changes; a proxy that falls over ends its part. */
+    List<ProxyResult.Point> measure(
+            int entries, List<Integer> rates, ScaleOptions.Progress progress)
+            throws InterruptedException {
+        List<ProxyResult.Point> points = new ArrayList<>();
+        var group =
+                new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("discovery", true), NioIoHandler.newFactory());
+        try (ProxyField field =
+                new ProxyField(
+                        options.program(),
+                        folder,
+                        options.seed(),
+                        memoryMb,
+                        options.jvmOptions())) {
+            EventLoop loop = group.next();
+            DiscoveryServer discovery = new DiscoveryServer(loop);
+            discovery.start();
+            discovery.update(list(entries));
+            ProxyChild proxy = field.start("entries-" + entries, discovery.address());
+            Thread.sleep(SETTLE_MS);
+            long firstListBytes = discovery.sentBytes();
+            for (int rate : rates) {
+                points.add(step(proxy, discovery, entries, rate, firstListBytes));
+                progress.step(entries + " entries, " + rate + " changes/s");
+            }
+        } catch (IOException fell) {
+            failures.add(entries + " entries: " + fell.getMessage());
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+        return points;
+    }
+
+    private ProxyResult.Point step(
+            ProxyChild proxy, DiscoveryServer discovery, int entries, int rate, long firstListBytes)
+            throws IOException, InterruptedException {
+        UniformRandomProvider random =
+                new Seeds(options.seed()).stream("changes-" + entries + "-" + rate);
+        boolean[] draining = new boolean[entries];
+        int changes = rate * options.seconds();
+        long pid = proxy.child().pid();
+        ProcessUsage before = ProcessUsage.of(pid);
+        long bytesBefore = discovery.sentBytes();
+        long beganNs = System.nanoTime();
+        for (int i = 0; i < changes; i++) {
+            sleepUntil(beganNs + TimeUnit.SECONDS.toNanos(1) * i / rate);
+            int entry = random.nextInt(entries);
+            draining[entry] = !draining[entry];
+            discovery.update(List.of(entry(entry, draining[entry] ? "DRAINING" : "SERVING")));
+        }
+        sleepUntil(beganNs + TimeUnit.SECONDS.toNanos(options.seconds()));
+        if (!proxy.child().alive()) {
+            throw new IOException("ended at " + rate + " changes/s:\n" + proxy.child().logEnd());
+        }
+        ProcessUsage after = ProcessUsage.of(pid);
+        double seconds = (System.nanoTime() - beganNs) / 1e9;
+        return new ProxyResult.Point(
+                entries,
+                rate,
+                changes,
+                firstListBytes,
+                after,
+                (after.processorSeconds() - before.processorSeconds()) / seconds,
+                (discovery.sentBytes() - bytesBefore) / seconds);
+    }
+
+    private static void sleepUntil(long ns) throws InterruptedException {
+        long leftNs = ns - System.nanoTime();
+        if (leftNs > 0) {
+            TimeUnit.NANOSECONDS.sleep(leftNs);
+        }
+    }
+
+    private static List<DiscoveryServer.Entry> list(int entries) throws IOException {
+        List<DiscoveryServer.Entry> list = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            list.add(entry(i, "SERVING"));
+        }
+        return list;
+    }
+
+    private static DiscoveryServer.Entry entry(int number, String status) throws IOException {
+        byte[] address = {
+            127, 1, (byte) (number / HOSTS_A_NETWORK), (byte) (number % HOSTS_A_NETWORK + 1)
+        };
+        return new DiscoveryServer.Entry(
+                "backend-" + number,
+                new InetSocketAddress(InetAddress.getByAddress(address), LISTED_PORT),
+                status,
+                0);
+    }
+}
--- a/src/main/java/passhatch/lab/standin/DiscoveryServer.java
+++ b/src/main/java/passhatch/lab/standin/DiscoveryServer.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -35,6 +37,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Discovery by the protocol's page: the whole list, and watches that carry one line for each
@@ -78,6 +81,7 @@
     private final Map<String, Versioned> entries = new LinkedHashMap<>();
     private final Set<Channel> open = new HashSet<>();
     private final Set<Channel> watches = new HashSet<>();
+    private final LongAdder sentBytes = new LongAdder();
     private long index;
     private boolean stalled;
     private long lateMs;
@@ -100,6 +104,11 @@
         return address;
     }
 
+    /** Bytes of its answers and watches so far, over all connections, without those of TCP. */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
     /**
      * Takes entries into the list, or changes them, in one version; {@code DELETED} ones leave it.
      */
@@ -178,6 +187,7 @@
                                     protected void initChannel(SocketChannel channel) {
                                         channel.pipeline()
                                                 .addLast(
+                                                        new SentBytes(),
                                                         new HttpServerCodec(),
                                                         new HttpObjectAggregator(1 << 16),
                                                         new Caller());
@@ -193,6 +203,16 @@
         address = (InetSocketAddress) listener.localAddress();
     }
 
+    private final class SentBytes extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            if (message instanceof ByteBuf bytes) {
+                sentBytes.add(bytes.readableBytes());
+            }
+            ctx.write(message, promise);
+        }
+    }
+
     private final class Caller extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
