Add scale agent, which measures one agent in fleets of several sizes

Need: what an agent costs by the number of members was known from simulated time only, which has no memory and no processor. Change: 'passhatch-lab scale agent' measures a real agent's memory, processor share and datagrams among hollow members, which run the program's own state machine on sockets of the tool's process; with duties, three real agents vote.

--- a/src/main/java/passhatch/lab/drill/AgentChild.java
+++ b/src/main/java/passhatch/lab/drill/AgentChild.java
@@ -15,7 +15,7 @@
 import java.util.stream.Collectors;
 
 /** One agent as a process of its own, with its configuration, its store and its log. */
-final class AgentChild {
+public final class AgentChild {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String HEAP = "-Xmx48m";
@@ -27,7 +27,7 @@
     private final Child child;
 
     /** An agent that is not started yet; its folder is made, its ports are chosen. */
-    AgentChild(Path jar, Path folder, String name) throws IOException {
+    public AgentChild(Path jar, Path folder, String name) throws IOException {
         this.name = name;
         this.folder = Files.createDirectories(folder);
         this.control = Local.freePort();
@@ -61,11 +61,13 @@
         return folder.resolve("store");
     }
 
-    InetSocketAddress listen() {
+    /** Where it receives datagrams. */
+    public InetSocketAddress listen() {
         return listen;
     }
 
-    Child child() {
+    /** Its process. */
+    public Child child() {
         return child;
     }
 
@@ -73,7 +75,7 @@
      * Writes its configuration with the addresses of all members, which is its own, and further
      * parts.
      */
-    void configure(List<InetSocketAddress> members, InetSocketAddress own, String more)
+    public void configure(List<InetSocketAddress> members, InetSocketAddress own, String more)
             throws IOException {
         Files.writeString(
                 config(),
@@ -125,7 +127,8 @@
         }
     }
 
-    String ask(String call) {
+    /** What its control address answers to a call; nothing where it does not answer. */
+    public String ask(String call) {
         return Local.ask(control, call);
     }
 
--- a/src/main/java/passhatch/lab/drill/Child.java
+++ b/src/main/java/passhatch/lab/drill/Child.java
@@ -28,7 +28,7 @@
     }
 
     /** Starts it, or starts it again once it has ended. */
-    synchronized void start() throws IOException {
+    public synchronized void start() throws IOException {
         if (alive()) {
             throw new IOException(name + " runs already");
         }
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/AgentCommand.java
@@ -0,0 +1,148 @@
+package passhatch.lab.scale;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code scale agent}. */
+@Command(
+        name = "agent",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measures memory, processor share and traffic of one agent process, by the number of"
+                    + " members, with and without duties.",
+            "The other members are hollow: they share the tool's process. Exit code 1 where an"
+                    + " agent fell over."
+        })
+final class AgentCommand implements Callable<Integer> {
+
+    private static final String NAME = "agent";
+    private static final int LEAST_MEMBERS = AgentMeasure.VOTERS + 1;
+    private static final int MOST_MEMBERS = 1_000;
+    private static final double KB_PER_MB = 1_024;
+
+    @Spec private CommandSpec spec;
+    @Mixin private ScaleOptions options;
+
+    @Option(
+            names = "--sizes",
+            split = ",",
+            paramLabel = "N",
+            defaultValue = "10,30,100,200",
+            description = "Members of the fleet; default: ${DEFAULT-VALUE}.")
+    private List<Integer> sizes;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        ScaleOptions.within("--sizes", sizes, LEAST_MEMBERS, MOST_MEMBERS);
+        options.seconds();
+        options.program();
+        Path folder = options.folder(NAME);
+        AgentResult result = measure(folder);
+        ScaleOptions.write(folder.resolve("result.json"), result);
+        plot(result, folder.resolve("plot.png"));
+        tell(result, folder);
+        return result.failures().isEmpty() ? 0 : 1;
+    }
+
+    private AgentResult measure(Path folder) throws InterruptedException {
+        double loadBefore = Machine.loadAverage();
+        AgentMeasure measure = new AgentMeasure(options, folder);
+        List<AgentResult.Point> points = new ArrayList<>();
+        List<String> failures = new ArrayList<>();
+        try (var progress = options.progress(NAME, 2 * sizes.size())) {
+            for (boolean duties : new boolean[] {false, true}) {
+                for (int size : sizes) {
+                    try {
+                        points.add(measure.measure(size, duties));
+                    } catch (IOException fell) {
+                        failures.add(size + " members: " + fell.getMessage());
+                    }
+                    progress.step(size + " members" + (duties ? ", duties" : ""));
+                }
+            }
+        }
+        return new AgentResult(
+                options.seed(),
+                options.seconds(),
+                Machine.since(loadBefore),
+                points,
+                fits(points),
+                failures);
+    }
+
+    private static List<AgentResult.Fit> fits(List<AgentResult.Point> points) {
+        List<AgentResult.Fit> fits = new ArrayList<>();
+        for (boolean duties : new boolean[] {false, true}) {
+            List<AgentResult.Point> same =
+                    points.stream().filter(p -> p.duties() == duties).toList();
+            if (same.stream().mapToInt(AgentResult.Point::members).distinct().count() >= 2) {
+                fits.add(fit("memory MB", duties, same, p -> megabytes(p)));
+                fits.add(fit("processor share", duties, same, AgentResult.Point::processorShare));
+                fits.add(fit("sent bytes/s", duties, same, AgentResult.Point::sentBytesPerSecond));
+            }
+        }
+        return fits;
+    }
+
+    private static AgentResult.Fit fit(
+            String quantity,
+            boolean duties,
+            List<AgentResult.Point> points,
+            ToDoubleFunction<AgentResult.Point> y) {
+        return new AgentResult.Fit(
+                quantity,
+                duties,
+                LinearFit.of(
+                        points.stream().mapToDouble(AgentResult.Point::members).toArray(),
+                        points.stream().mapToDouble(y).toArray()));
+    }
+
+    private static double megabytes(AgentResult.Point point) {
+        return point.usage().residentKb() / KB_PER_MB;
+    }
+
+    private static void plot(AgentResult result, Path file) throws IOException {
+        Plot plot = new Plot("Resident memory of an agent", "members", "MB");
+        for (boolean duties : new boolean[] {false, true}) {
+            List<AgentResult.Point> same =
+                    result.points().stream().filter(p -> p.duties() == duties).toList();
+            plot.add(
+                    duties ? "with duties" : "without duties",
+                    same.stream().map(AgentResult.Point::members).toList(),
+                    same.stream().map(AgentCommand::megabytes).toList());
+        }
+        plot.write(file);
+    }
+
+    private void tell(AgentResult result, Path folder) {
+        PrintWriter text = spec.commandLine().getOut();
+        for (AgentResult.Point p : result.points()) {
+            text.printf(
+                    Locale.ROOT,
+                    "%4d members%s: %.1f MB resident, %d threads, %.2f %% of a core, sends %.0f"
+                            + " bytes/s in %.1f datagrams/s, receives %.1f datagrams/s%n",
+                    p.members(),
+                    p.duties() ? ", duties" : "",
+                    megabytes(p),
+                    p.usage().threads(),
+                    100 * p.processorShare(),
+                    p.sentBytesPerSecond(),
+                    p.sentPerSecond(),
+                    p.receivedPerSecond());
+        }
+        result.failures().forEach(f -> text.println("FELL OVER: " + f));
+        text.println("Result: " + folder.resolve("result.json"));
+        text.flush();
+    }
+}
--- a/src/main/java/passhatch/lab/scale/ScaleCommand.java
+++ b/src/main/java/passhatch/lab/scale/ScaleCommand.java
@@ -17,6 +17,7 @@
     public static CommandLine line() {
         return new CommandLine(new ScaleCommand())
                 .addSubcommand(new LatencyCommand())
-                .addSubcommand(new ProxyCommand());
+                .addSubcommand(new ProxyCommand())
+                .addSubcommand(new AgentCommand());
     }
 }
--- a/src/test/java/passhatch/lab/scale/ScaleCommandTest.java
+++ b/src/test/java/passhatch/lab/scale/ScaleCommandTest.java
@@ -38,6 +38,8 @@
                 "proxy --seconds 0",
                 "proxy --seed x",
                 "proxy --jar no-such.jar",
+                "agent --sizes 3",
+                "agent --seconds 999",
                 "latency --rates 0",
                 "latency --paths 0",
                 "latency --sizes 99999",
--- a/src/test/java/passhatch/lab/scale/ScaleIT.java
+++ b/src/test/java/passhatch/lab/scale/ScaleIT.java
@@ -82,6 +82,17 @@
         }
     }
 
+    @Test
+    void measuresAnAgentAmongHollowMembers() throws Exception {
+        assertEquals(0, run("agent", "--sizes", "5,9"));
+        JsonNode points = result().get("points");
+        assertEquals(4, points.size());
+        for (JsonNode point : points) {
+            assertEquals(point.get("duties").asBoolean() ? 3 : 1, point.get("processes").asInt());
+            assertTrue(point.at("/usage/residentKb").asLong() > 0, point.toString());
+        }
+    }
+
     private int latency(String behindUs) {
         return run(
                 "latency",
