Share views between members in one process, and raise the limit on members to 32,768

Membership refused more than 4,096 members and the simulation of 4,000 did not end in 19 minutes; the fleet will have 19,000 processes.

A member known is immutable now, and a view is 256 arrays in order of the names' hashes, the leaves of the tree of digests, and pages of addresses. A change replaces one small array, so that views that agree share their state. The order of probes is a Feistel permutation in place of a list of all addresses, equal facts that arrive again are held once, and nothing walks over all members to forget those that are gone. Datagrams and rules are as before.

The limit follows from 32 MiB of heap and 512 bytes a member, twice.

Run: the tests of fleet, lab.fleet and ArchitectureTest pass; the full unit tests were not run.

--- a/src/main/java/passhatch/fleet/Beliefs.java
+++ b/src/main/java/passhatch/fleet/Beliefs.java
@@ -82,7 +82,7 @@
             // the accusation, as across a partition that has healed, so it gets the time to refute.
             boolean hearsay =
                     told.status() == Status.FAILED && known.status() == Status.ALIVE && !own;
-            set(nowUs, member, hearsay ? suspicion(told, ALL_ACCUSERS) : told);
+            member = set(nowUs, member, hearsay ? suspicion(told, ALL_ACCUSERS) : told);
             if (member.status() == Status.SUSPECT) {
                 rumour.accept(member);
             }
@@ -93,7 +93,7 @@
                     && known.status() == Status.ALIVE
                     && known.version().isEmpty()
                     && !told.version().isEmpty()) {
-                view.change(member, told, nowUs);
+                member = view.change(member, told, nowUs);
             }
         }
         if (own) {
@@ -228,11 +228,11 @@
         return (short) Names.hash(name);
     }
 
-    private void set(long nowUs, Member member, Fact fact) {
-        Status before = member.status();
-        view.change(member, fact, nowUs);
+    private Member set(long nowUs, Member member, Fact fact) {
+        Member changed = view.change(member, fact, nowUs);
         outbox.news().add(fact);
-        actions.changed(before, member.info());
+        actions.changed(member.status(), changed.info());
+        return changed;
     }
 
     /** Those whose time to refute is over have failed. */
@@ -241,28 +241,23 @@
             return;
         }
         lookedUs = nowUs;
-        for (Member member : List.copyOf(view.suspects())) {
+        for (Member member : view.suspects()) {
             if (nowUs >= deadlineUs(member)) {
-                set(
-                        nowUs,
-                        member,
-                        Fact.of(
-                                Status.FAILED,
-                                member.name(),
-                                member.fact().incarnation(),
-                                member.fact().number()));
+                Member failed = set(nowUs, member, failure(member.fact()));
                 if (member.name().equals(self.name())) {
-                    takeBack(nowUs, member);
+                    takeBack(nowUs, failed);
                 }
             }
         }
     }
 
+    private static Fact failure(Fact of) {
+        return Fact.of(Status.FAILED, of.name(), of.incarnation(), of.number());
+    }
+
     /** When suspects are looked at next; {@link Long#MAX_VALUE} where there are none. */
     long nextUs() {
-        return view.suspects().isEmpty()
-                ? Long.MAX_VALUE
-                : lookedUs + (long) (LOOK_EVERY * periodUs);
+        return view.hasSuspects() ? lookedUs + (long) (LOOK_EVERY * periodUs) : Long.MAX_VALUE;
     }
 
     private long deadlineUs(Member suspect) {
@@ -278,15 +273,11 @@
 
     /** Time in which this process was held up is no time in which others had a chance. */
     void heldUp(long byUs) {
-        view.suspects().forEach(m -> m.later(byUs));
+        view.delaySuspects(byUs);
     }
 
     /** Drops those from sight that failed or left long ago. */
     void forget(long nowUs, long afterUs) {
-        for (Member member : List.copyOf(view.all())) {
-            if (!member.status().present() && nowUs - member.sinceUs() > afterUs) {
-                view.forget(member);
-            }
-        }
+        view.forgetAbsentBefore(nowUs - afterUs);
     }
 }
--- a/src/main/java/passhatch/fleet/Codec.java
+++ b/src/main/java/passhatch/fleet/Codec.java
@@ -26,6 +26,11 @@
     private static final Status[] STATUSES = Status.values();
     private static final CBORFactory CBOR = new CBORFactory();
 
+    /** Facts and labels come again and again; all memberships in one process share them. */
+    private static final Canonical<Fact> FACTS = new Canonical<>(4096);
+
+    private static final Canonical<String> LABELS = new Canonical<>(64);
+
     /** Why a datagram was not taken. */
     static final class Rejected extends Exception {
         private static final long serialVersionUID = 1L;
@@ -195,21 +200,22 @@
                         cbor.integer(Integer.MIN_VALUE, Integer.MAX_VALUE),
                         cbor.integer(0, Integer.MAX_VALUE));
         int number = cbor.integer(-1, Integer.MAX_VALUE);
-        List<Integer> accusers = new ArrayList<>();
+        List<Integer> accusers = List.of();
         String version = "";
         String roles = "";
         if (status == Status.SUSPECT) {
             ByteBuffer hashes = ByteBuffer.wrap(cbor.binary());
             CborReader.require(
                     hashes.remaining() % 2 == 0 && hashes.remaining() <= 2 * Fact.MOST_ACCUSERS);
+            accusers = new ArrayList<>(Fact.MOST_ACCUSERS);
             while (hashes.hasRemaining()) {
                 accusers.add((int) hashes.getShort());
             }
         } else if (status != Status.FAILED) {
-            version = cbor.label();
-            roles = cbor.label();
+            version = LABELS.of(cbor.label());
+            roles = LABELS.of(cbor.label());
         }
         cbor.passOver();
-        return new Fact(status, name, incarnation, number, version, roles, accusers);
+        return FACTS.of(new Fact(status, name, incarnation, number, version, roles, accusers));
     }
 }
--- a/src/main/java/passhatch/fleet/Digests.java
+++ b/src/main/java/passhatch/fleet/Digests.java
@@ -17,27 +17,32 @@
 
     private static final int SPREAD = 0x9E3779B9;
 
-    private final int[] leaves = new int[LEAVES];
+    private final int[] leaves;
 
-    /** The leaf of a member. */
-    static int leaf(String name) {
-        return Names.hash(name) & LEAVES - 1;
+    Digests() {
+        leaves = new int[LEAVES];
+    }
+
+    /** A copy. */
+    Digests(Digests other) {
+        leaves = other.leaves.clone();
+    }
+
+    /** The leaf of a member, by {@link Names#hash} of its name. */
+    static int leaf(int hash) {
+        return hash & LEAVES - 1;
     }
 
     /** Adds a statement, or takes it away again. */
     void toggle(Fact fact) {
         Status told = fact.status() == Status.SUSPECT ? Status.ALIVE : fact.status();
-        int digest = Names.hash(fact.name());
-        for (long part :
-                new long[] {
-                    fact.incarnation().epoch(),
-                    fact.incarnation().life(),
-                    fact.incarnation().refutation(),
-                    told.ordinal()
-                }) {
-            digest = mix(digest, Long.hashCode(part));
-        }
-        leaves[leaf(fact.name())] ^= digest;
+        int hash = Names.hash(fact.name());
+        int digest = mix(hash, Long.hashCode(fact.incarnation().epoch()));
+        // As a long, as on the wire: the sign of the number counts.
+        digest = mix(digest, Long.hashCode(fact.incarnation().life()));
+        digest = mix(digest, fact.incarnation().refutation());
+        digest = mix(digest, told.ordinal());
+        leaves[leaf(hash)] ^= digest;
     }
 
     private static int mix(int a, int b) {
--- a/src/main/java/passhatch/fleet/GossipQueue.java
+++ b/src/main/java/passhatch/fleet/GossipQueue.java
@@ -39,6 +39,12 @@
         return items.size();
     }
 
+    /** All that there is to tell is known already. */
+    void clear() {
+        byMember.clear();
+        items.clear();
+    }
+
     /** Tells this from now on, instead of what was told of the member before. */
     void add(Fact fact) {
         Item item = new Item(fact, next++);
--- /dev/null
+++ b/src/main/java/passhatch/fleet/MemberTable.java
@@ -0,0 +1,102 @@
+package passhatch.fleet;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Members by name, in the leaves of the tree of digests. A leaf is an array in order of the names'
+ * hashes that is never written to: a change replaces it, so that a copy of the table shares all
+ * leaves that neither has changed since.
+ */
+final class MemberTable {
+
+    private static final Member[] EMPTY = {};
+
+    private final Member[][] leaves;
+    private int size;
+
+    MemberTable() {
+        leaves = new Member[Digests.LEAVES][];
+        Arrays.fill(leaves, EMPTY);
+    }
+
+    /** A copy that shares what does not change. */
+    MemberTable(MemberTable other) {
+        leaves = other.leaves.clone();
+        size = other.size;
+    }
+
+    int size() {
+        return size;
+    }
+
+    /** The member of this name, or null. */
+    Member get(String name) {
+        int hash = Names.hash(name);
+        Member[] leaf = leaves[Digests.leaf(hash)];
+        int place = find(leaf, hash, name);
+        return place < 0 ? null : leaf[place];
+    }
+
+    /** Adds a member, or takes it in place of the one of this name. */
+    void put(Member member) {
+        int number = Digests.leaf(member.hash());
+        Member[] leaf = leaves[number];
+        int place = find(leaf, member.hash(), member.name());
+        if (place >= 0) {
+            Member[] changed = leaf.clone();
+            changed[place] = member;
+            leaves[number] = changed;
+            return;
+        }
+        int insertion = -place - 1;
+        Member[] longer = Arrays.copyOf(leaf, leaf.length + 1);
+        System.arraycopy(leaf, insertion, longer, insertion + 1, leaf.length - insertion);
+        longer[insertion] = member;
+        leaves[number] = longer;
+        size++;
+    }
+
+    /** Removes a member that is there. */
+    void remove(Member member) {
+        int number = Digests.leaf(member.hash());
+        Member[] leaf = leaves[number];
+        int place = find(leaf, member.hash(), member.name());
+        Member[] shorter = Arrays.copyOf(leaf, leaf.length - 1);
+        System.arraycopy(leaf, place + 1, shorter, place, shorter.length - place);
+        leaves[number] = shorter;
+        size--;
+    }
+
+    List<Member> leaf(int number) {
+        return Arrays.asList(leaves[number]);
+    }
+
+    /** All members; the table may change while they are gone through. */
+    Stream<Member> all() {
+        return Arrays.stream(leaves.clone()).flatMap(Arrays::stream);
+    }
+
+    /** The place of a name in a leaf, or as {@link Arrays#binarySearch(int[], int)} has it. */
+    private static int find(Member[] leaf, int hash, String name) {
+        int low = 0;
+        int high = leaf.length - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            int order = Integer.compare(leaf[middle].hash(), hash);
+            if (order == 0) {
+                order = leaf[middle].name().compareTo(name);
+            }
+            if (order == 0) {
+                return middle;
+            }
+            if (order < 0) {
+                low = middle + 1;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return -low - 1;
+    }
+}
--- a/src/main/java/passhatch/fleet/Membership.java
+++ b/src/main/java/passhatch/fleet/Membership.java
@@ -1,5 +1,6 @@
 package passhatch.fleet;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,18 @@
  */
 public final class Membership {
 
+    /** Bytes of the heap that a proxy's membership may hold: a quarter of what control has. */
+    private static final int MOST_HEAP_BYTES = 32 << 20;
+
+    /**
+     * Bytes that one member takes at most, as {@code scale membership} measured it: with the news
+     * of it still to be told. Those that are shown no more take as much again at worst.
+     */
+    private static final int BYTES_PER_MEMBER = 512;
+
+    /** Members that one process knows at most; what is told of further ones is not taken. */
+    public static final int MOST_MEMBERS = MOST_HEAP_BYTES / (2 * BYTES_PER_MEMBER);
+
     /** Times as shares of a period. */
     private static final double GOSSIP_EVERY = 0.4;
 
@@ -107,6 +120,32 @@
         wakeAtUs = next();
     }
 
+    /**
+     * What a process knows that knows just these, each as it speaks of itself: a start for views
+     * that agree from the beginning, which then share their state until they change.
+     */
+    public static Snapshot snapshot(Collection<Membership> members, int addresses) {
+        View view = new View(addresses);
+        members.forEach(m -> view.add(m.self.fact(), m.nowUs));
+        return new Snapshot(view);
+    }
+
+    /** A view to start from; see {@link Membership#snapshot}. */
+    public static final class Snapshot {
+        private final View view;
+
+        private Snapshot(View view) {
+            this.view = view;
+        }
+    }
+
+    /** Takes what is known from a snapshot that has this process; nothing of it is news. */
+    public void adopt(Snapshot snapshot) {
+        view.adopt(snapshot.view);
+        outbox.news().clear();
+        wakeAtUs = next();
+    }
+
     /** For the rumours, which come only once all is put together. */
     private Probes probes() {
         return probes;
@@ -249,9 +288,8 @@
         enter(us);
         self.leave();
         if (!self.givenWay()) {
-            Member own = view.get(self.name());
-            view.change(own, self.fact(), nowUs);
-            outbox.news().add(own.fact());
+            view.change(view.get(self.name()), self.fact(), nowUs);
+            outbox.news().add(self.fact());
             probes.pick(FAREWELLS, "").forEach(m -> outbox.gossip(m.address()));
         }
         wakeAtUs = next();
@@ -303,10 +341,12 @@
 
     /** All members that are known, this one among them, by name. */
     public List<MemberInfo> members() {
-        return view.all().stream()
-                .map(Member::info)
-                .sorted(Comparator.comparing(MemberInfo::name))
-                .toList();
+        return view.all().map(Member::info).sorted(Comparator.comparing(MemberInfo::name)).toList();
+    }
+
+    /** Members that are present in the view, this one and suspects among them. */
+    public int present() {
+        return view.present();
     }
 
     /** Whether just these are present in the view, suspects among them. */
--- a/src/main/java/passhatch/fleet/Probes.java
+++ b/src/main/java/passhatch/fleet/Probes.java
@@ -78,7 +78,7 @@
     private final long periodUs;
     private final Map<Integer, Probe> running = new HashMap<>();
     private final Map<Integer, Relay> relays = new HashMap<>();
-    private final List<Integer> ring = new ArrayList<>();
+    private ProbeOrder order;
     private int ownNumber;
     private int next;
 
@@ -99,12 +99,13 @@
         this.periodUs = settings.periodUs();
         this.ownNumber = settings.ownNumber();
         this.next = random.nextInt();
+        this.order = new ProbeOrder(view.addresses(), random);
     }
 
     /** The list of addresses is another now. */
     void moved(int newOwnNumber) {
         ownNumber = newOwnNumber;
-        ring.clear();
+        order = new ProbeOrder(view.addresses(), random);
         running.clear();
         relays.clear();
     }
@@ -113,13 +114,10 @@
     void tick(long nowUs) {
         boolean absentAsked = false;
         for (int passed = 0; passed < MOST_PASSED; passed++) {
-            if (ring.isEmpty()) {
-                refill();
-            }
-            if (ring.isEmpty()) {
+            int address = nextAddress();
+            if (address < 0) {
                 break;
             }
-            int address = ring.remove(ring.size() - 1);
             Member member = view.at(address);
             if (member != null && member.status().present() && !member.name().equals(self.name())) {
                 begin(nowUs, member);
@@ -136,18 +134,25 @@
         }
     }
 
-    private void refill() {
-        for (int i = 0; i < view.addresses(); i++) {
-            if (i != ownNumber) {
-                ring.add(random.nextInt(ring.size() + 1), i);
-            }
+    /** The next address but its own, in a new order once all have been; -1 where there is none. */
+    private int nextAddress() {
+        int address = nextOfRound();
+        if (address < 0) {
+            order = new ProbeOrder(view.addresses(), random);
+            address = nextOfRound();
         }
+        return address;
+    }
+
+    private int nextOfRound() {
+        int address = order.next();
+        return address >= 0 && address == ownNumber ? order.next() : address;
     }
 
     /** A member that is known from hearsay only, and that others have to ask. */
     private void probeOneWithoutAddress(long nowUs) {
         List<Member> without =
-                view.all().stream()
+                view.all()
                         .filter(
                                 m ->
                                         m.address() < 0
--- a/src/main/java/passhatch/lab/fleet/FleetSim.java
+++ b/src/main/java/passhatch/lab/fleet/FleetSim.java
@@ -30,6 +30,9 @@
     /** Datagrams that wait at a process that does not read them, at most; then they are lost. */
     private static final int SOCKET_BUFFER = 256;
 
+    /** That a process sends at most when nothing is configured. */
+    public static final long BYTES_PER_SECOND = 16_384;
+
     /**
      * What happens to datagrams; times in microseconds.
      *
@@ -145,6 +148,7 @@
     private long nowUs = 1_000_000;
     private long order;
     private long datagrams;
+    private long bytes;
     private long steps;
 
     /** No process runs yet; process i has the i-th of these settings. */
@@ -163,6 +167,11 @@
 
     /** The same for a name of one's own. */
     public static FleetSettings settings(String name, int number, int members) {
+        return settings(name, number, members, BYTES_PER_SECOND);
+    }
+
+    private static FleetSettings settings(
+            String name, int number, int members, long bytesPerSecond) {
         return new FleetSettings(
                 "jackson",
                 name,
@@ -171,15 +180,20 @@
                 number,
                 members,
                 500_000,
-                16_384,
+                bytesPerSecond,
                 3_600_000_000L);
     }
 
     /** All processes of a fleet, each with a name of its own. */
     public static FleetSim fleet(long seed, int members) {
+        return fleet(seed, members, BYTES_PER_SECOND);
+    }
+
+    /** The same with another limit on what each may send. */
+    public static FleetSim fleet(long seed, int members, long bytesPerSecond) {
         List<FleetSettings> all = new ArrayList<>();
         for (int i = 0; i < members; i++) {
-            all.add(settings(i, members));
+            all.add(settings("n" + i, i, members, bytesPerSecond));
         }
         return new FleetSim(seed, all);
     }
@@ -216,6 +230,11 @@
         return datagrams;
     }
 
+    /** Bytes of those. */
+    public long bytes() {
+        return bytes;
+    }
+
     /** Events that were played so far. */
     public long steps() {
         return steps;
@@ -247,6 +266,22 @@
         }
     }
 
+    /** Starts all processes, each of which knows all others from the beginning. */
+    public void startAllAgreed() {
+        startAll();
+        Membership.Snapshot all =
+                Membership.snapshot(nodes.stream().map(n -> n.membership).toList(), nodes.size());
+        for (Node node : nodes) {
+            node.membership.adopt(all);
+            node.plan();
+        }
+    }
+
+    /** How many members a running process sees as present, itself and suspects among them. */
+    public int present(int number) {
+        return nodes.get(number).membership.present();
+    }
+
     /** Ends a process without a word. */
     public void kill(int number) {
         nodes.get(number).membership = null;
@@ -354,6 +389,7 @@
 
     private void send(int from, int to, byte[] datagram) {
         datagrams++;
+        bytes += datagram.length;
         if (!passes.test(from, to) || random.nextDouble() < network.lost()) {
             return;
         }
