Measure membership by size with "scale membership"

What membership costs at 19,000 processes was not known. The command plays nine scenarios at given sizes from a start on which all agree, in bounded time, writes JSON and a plot, and fits a line through each figure.

--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -4,6 +4,7 @@
 import passhatch.lab.drill.DrillCommand;
 import passhatch.lab.duty.DutyCommand;
 import passhatch.lab.fleet.FleetCommand;
+import passhatch.lab.scale.ScaleCommand;
 import picocli.CommandLine;
 
 /** Where the tools start: the program's own commands, and those that only the lab has. */
@@ -23,6 +24,7 @@
                         .addSubcommand(DrillCommand.line())
                         .addSubcommand(FleetCommand.line())
                         .addSubcommand(DutyCommand.line())
+                        .addSubcommand(ScaleCommand.line())
                         .addSubcommand(new StoreBench()));
     }
 }
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/MembershipMemory.java
@@ -0,0 +1,97 @@
+package passhatch.lab.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import passhatch.fleet.FleetActions;
+import passhatch.fleet.MemberInfo;
+import passhatch.fleet.Membership;
+import passhatch.fleet.Status;
+import passhatch.lab.fleet.FleetSim;
+
+/**
+ * Memory of one membership that heard of each member by that member's own datagram, as an agent
+ * does, measured as the growth of the heap that is in use.
+ */
+final class MembershipMemory {
+
+    private static final long START_US = 1_000_000;
+    private static final int COLLECTIONS = 3;
+    private static final int WARM_UP_MEMBERS = 64;
+    private static final long WARM_UP_SEED = 1L << 40;
+
+    private MembershipMemory() {}
+
+    /** Bytes for each member, with all that was heard still waiting to be told to others. */
+    static double bytesPerMember(int members) {
+        // Once without measuring, as the classes are no member's. Few and other members, as facts
+        // that the codec has seen already would not count.
+        grownBytes(WARM_UP_MEMBERS, WARM_UP_SEED);
+        return (double) grownBytes(members, 0) / members;
+    }
+
+    private static long grownBytes(int members, long seed) {
+        List<byte[]> datagrams = new ArrayList<>();
+        for (int i = 1; i < members; i++) {
+            datagrams.add(greeting(i, members, seed));
+        }
+        Membership observer = membership(0, members, seed, new Recorder());
+        long before = usedBytes();
+        for (int i = 1; i < members; i++) {
+            observer.datagram(START_US, i, datagrams.get(i - 1));
+        }
+        long grown = usedBytes() - before;
+        if (observer.present() != members) {
+            throw new IllegalStateException("the observer knows of " + observer.present());
+        }
+        return grown;
+    }
+
+    /** The first datagram that a process sends. */
+    private static byte[] greeting(int number, int members, long seed) {
+        Recorder recorder = new Recorder();
+        Membership sender = membership(number, members, seed, recorder);
+        while (recorder.last == null) {
+            sender.timer(sender.wakeAtUs());
+        }
+        return recorder.last;
+    }
+
+    private static Membership membership(int number, int members, long seed, FleetActions actions) {
+        return new Membership(
+                FleetSim.settings(number, members),
+                START_US,
+                1,
+                new SplittableRandom(seed + number),
+                actions);
+    }
+
+    private static long usedBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /** Keeps the last datagram that was to be sent. */
+    private static final class Recorder implements FleetActions {
+        private byte[] last;
+
+        @Override
+        public void send(int address, byte[] datagram) {
+            last = datagram;
+        }
+
+        @Override
+        public boolean claim(long epoch) {
+            return true;
+        }
+
+        @Override
+        public void changed(Status before, MemberInfo after) {}
+
+        @Override
+        public void note(String text) {}
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/MembershipScaleCommand.java
@@ -0,0 +1,205 @@
+package passhatch.lab.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import passhatch.agent.config.BadInput;
+import passhatch.fleet.Membership;
+import passhatch.lab.fleet.FleetSim;
+import passhatch.lab.scale.MembershipScaleResult.Outcome;
+import passhatch.lab.scale.MembershipScaleResult.Size;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The command {@code scale membership}: what membership costs as the fleet grows. */
+@Command(
+        name = "membership",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures membership in simulated time at several sizes, and fits lines through"
+                        + " them. A line of progress for each scenario goes to standard error.")
+final class MembershipScaleCommand implements Callable<Integer> {
+
+    private static final int FEWEST = 50;
+    private static final int FEWEST_BYTES = 1_024;
+
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--members",
+            split = ",",
+            required = true,
+            description = "Sizes of the fleet, separated by commas.")
+    private List<Integer> sizes;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Option(
+            names = "--loss",
+            defaultValue = "0.3",
+            description = "Share of datagrams lost in LOSS; default: ${DEFAULT-VALUE}.")
+    private double loss;
+
+    @Option(
+            names = "--bytes-per-second",
+            defaultValue = "" + FleetSim.BYTES_PER_SECOND,
+            description = "That a process sends at most; default: ${DEFAULT-VALUE}.")
+    private long bytesPerSecond;
+
+    @Option(
+            names = "--simulated-seconds",
+            defaultValue = "30",
+            description = "For REST, CHURN and LOSS; default: ${DEFAULT-VALUE}.")
+    private int seconds;
+
+    @Option(
+            names = "--cut-seconds",
+            defaultValue = "120",
+            description = "Simulated, for REGION; default: ${DEFAULT-VALUE}.")
+    private int cutSeconds;
+
+    @Option(
+            names = "--wall-seconds",
+            defaultValue = "120",
+            description = "Real time for each scenario at most; default: ${DEFAULT-VALUE}.")
+    private long wallSeconds;
+
+    @Option(
+            names = "--threads",
+            defaultValue = "1",
+            description = "Scenarios that run at a time; default: ${DEFAULT-VALUE}.")
+    private int threads;
+
+    @Option(
+            names = "--scenarios",
+            split = ",",
+            description = "Default: all of ${COMPLETION-CANDIDATES}.")
+    private Set<MembershipScenario> scenarios = EnumSet.allOf(MembershipScenario.class);
+
+    @Option(
+            names = "--target",
+            defaultValue = "19000",
+            description = "The size that lines are read at; default: ${DEFAULT-VALUE}.")
+    private int target;
+
+    @Option(
+            names = "--out",
+            defaultValue = "target/scale/membership",
+            description = "Folder for the result and the plot; default: ${DEFAULT-VALUE}.")
+    private Path folder;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        check();
+        PrintWriter out = spec.commandLine().getOut();
+        List<Size> measured = new ArrayList<>();
+        for (int members : sizes) {
+            Size size = new Size(members, play(members));
+            measured.add(size);
+            // After each size, so that a run that is ended early leaves what it has.
+            MembershipScaleText.print(out, size);
+            write(result(measured));
+        }
+        MembershipScaleText.printFits(out, result(measured).fits());
+        return 0;
+    }
+
+    private MembershipScaleResult result(List<Size> measured) {
+        return new MembershipScaleResult(
+                seed,
+                bytesPerSecond,
+                loss,
+                seconds,
+                measured,
+                MembershipScaleFits.through(measured, target));
+    }
+
+    private void write(MembershipScaleResult result) throws IOException {
+        Files.createDirectories(folder);
+        new ObjectMapper()
+                .enable(SerializationFeature.INDENT_OUTPUT)
+                .writeValue(folder.resolve("result.json").toFile(), result);
+        MembershipScalePlot.write(folder.resolve("plot.svg"), result);
+    }
+
+    private void check() {
+        for (Integer size : sizes) {
+            if (size < FEWEST || size > Membership.MOST_MEMBERS) {
+                throw new BadInput(
+                        "--members: expected " + FEWEST + " to " + Membership.MOST_MEMBERS);
+            }
+        }
+        require(loss >= 0 && loss <= 0.9, "--loss: expected 0 to 0.9");
+        require(seconds >= 1 && seconds <= 3600, "--simulated-seconds: expected 1 to 3600");
+        require(cutSeconds >= 1 && cutSeconds <= 3600, "--cut-seconds: expected 1 to 3600");
+        require(wallSeconds >= 1 && wallSeconds <= 3600, "--wall-seconds: expected 1 to 3600");
+        require(
+                bytesPerSecond >= FEWEST_BYTES,
+                "--bytes-per-second: expected " + FEWEST_BYTES + " or more");
+        require(threads >= 1 && threads <= 64, "--threads: expected 1 to 64");
+        require(target >= 1, "--target: expected 1 or more");
+    }
+
+    private static void require(boolean holds, String message) {
+        if (!holds) {
+            throw new BadInput(message);
+        }
+    }
+
+    private List<Outcome> play(int members) throws InterruptedException {
+        MembershipScaleRun run =
+                new MembershipScaleRun(
+                        seed, members, bytesPerSecond, loss, seconds, cutSeconds, wallSeconds);
+        List<Outcome> outcomes = new ArrayList<>();
+        // Memory is measured as the growth of the heap, so nothing else may run beside it.
+        if (scenarios.contains(MembershipScenario.MEMORY)) {
+            outcomes.add(report(members, run.play(MembershipScenario.MEMORY)));
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<Outcome>> running = new ArrayList<>();
+            for (MembershipScenario scenario : scenarios) {
+                if (scenario != MembershipScenario.MEMORY) {
+                    running.add(pool.submit(() -> report(members, run.play(scenario))));
+                }
+            }
+            for (Future<Outcome> outcome : running) {
+                outcomes.add(outcome.get());
+            }
+        } catch (ExecutionException failed) {
+            throw new IllegalStateException(failed.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+        return outcomes;
+    }
+
+    private Outcome report(int members, Outcome outcome) {
+        PrintWriter err = spec.commandLine().getErr();
+        err.printf(
+                Locale.ROOT,
+                "%d members, %s: %.1f s%s%n",
+                members,
+                outcome.scenario(),
+                outcome.wallSeconds(),
+                outcome.problem() == null ? "" : ", " + outcome.problem());
+        err.flush();
+        return outcome;
+    }
+}
