--- a/src/main/java/passhatch/lab/scale/ScaleCommand.java
+++ b/src/main/java/passhatch/lab/scale/ScaleCommand.java
@@ -4,11 +4,11 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
-/** The command {@code scale}: measures what real processes cost as sizes grow. */
+/** The command {@code scale}: measures what grows with the size of the fleet. */
 @Command(
         name = "scale",
         mixinStandardHelpOptions = true,
-        description = "Measures what real processes of the program cost as sizes grow.")
+        description = "Measures what grows with the size of the fleet; see docs/capacity.")
 public final class ScaleCommand extends CommandGroup {
 
     private ScaleCommand() {}
@@ -18,6 +18,7 @@
         return new CommandLine(new ScaleCommand())
                 .addSubcommand(new LatencyCommand())
                 .addSubcommand(new ProxyCommand())
-                .addSubcommand(new AgentCommand());
+                .addSubcommand(new AgentCommand())
+                .addSubcommand(new MembershipScaleCommand());
     }
 }
