Start the JVM with SIGHUP not ignored, and say so where it is

The start script now restores the default action by env, and the program logs a line where it finds the signal ignored.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -28,6 +28,20 @@
 archive=
 [ -f target/passhatch.jsa ] && archive=-XX:SharedArchiveFile=target/passhatch.jsa
 
-exec java -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xshare:auto $archive -Xms24m -Xmx${heap}m \
+# A parent such as nohup hands SIGHUP down ignored. Neither a shell nor a JVM can take that back, and no new
+# configuration would ever be taken: env restores the default action, and then becomes the JVM.
+ignored=0
+if [ -r /proc/self/status ]; then
+    while read -r field value; do
+        [ "$field" = SigIgn: ] && ignored=$value
+    done < /proc/self/status
+fi
+restore=
+case $ignored in
+    *[13579bdf]) [ -x /usr/bin/env ] && restore='/usr/bin/env --default-signal=HUP' ;;
+esac
+
+exec $restore java -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xshare:auto $archive \
+    -Xms24m -Xmx${heap}m \
     -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -XX:MaxDirectMemorySize=${direct}m \
     -Dio.netty.jfr.enabled=false -jar target/passhatch.jar serve
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -104,7 +104,9 @@
             ProxyConfig config = ProxyConfig.read(env);
             server = create(config, new EventLog(err), Logic::new);
             // A signal may come in the moment in which the first connection is accepted.
-            HangUp.handle(() -> server.reload(env));
+            if (!HangUp.handle(() -> server.reload(env))) {
+                server.log.line("SIGHUP is ignored since the start: no new configuration is taken");
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(server::endInOrder));
             server.listen(config);
         } catch (ProxyConfig.BadConfig bad) {
--- a/src/main/java/passhatch/proxy/base/HangUp.java
+++ b/src/main/java/passhatch/proxy/base/HangUp.java
@@ -11,8 +11,13 @@
 
     private HangUp() {}
 
-    /** Has this run, on a thread of the JVM's, at every SIGHUP from now on. */
-    public static void handle(Runnable then) {
+    /**
+     * Has this run, on a thread of the JVM's, at every SIGHUP from now on.
+     *
+     * @return false where the process was started with SIGHUP ignored, as by nohup: the JVM leaves
+     *     it ignored, and this never runs
+     */
+    public static boolean handle(Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -24,8 +29,13 @@
                                 then.run();
                                 return null;
                             });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), handling);
+            Object before =
+                    signal.getMethod("handle", signal, handler)
+                            .invoke(
+                                    null,
+                                    signal.getConstructor(String.class).newInstance("HUP"),
+                                    handling);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP cannot be handled", e);
         }
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -31,8 +31,17 @@
 
     /** The flags that the script hands to java, for a proxy with this much memory. */
     private String flags(int memoryMb, String control, boolean archive) throws Exception {
+        return said(memoryMb, control, archive, "echo \"$@\"", "exec \"$@\"");
+    }
+
+    /**
+     * What this program says in java's place, where a shell with these commands starts the script.
+     */
+    private String said(
+            int memoryMb, String control, boolean archive, String program, String starter)
+            throws Exception {
         Path java = folder.resolve("java");
-        Files.writeString(java, "#!/bin/sh\necho \"$@\"\n");
+        Files.writeString(java, "#!/bin/sh\n" + program + "\n");
         assertTrue(java.toFile().setExecutable(true));
         Path config = folder.resolve("config.json");
         Files.writeString(
@@ -47,7 +56,9 @@
             Files.writeString(folder.resolve("target/passhatch.jsa"), "");
         }
         String script = Path.of("deploy/serve.sh").toAbsolutePath().toString();
-        ProcessBuilder shell = new ProcessBuilder("/bin/sh", script).directory(folder.toFile());
+        ProcessBuilder shell =
+                new ProcessBuilder("/bin/sh", "-c", starter, "sh", "/bin/sh", script)
+                        .directory(folder.toFile());
         // No other program can be found, as where none may be started.
         shell.environment().clear();
         shell.environment().put("PATH", folder.toString());
@@ -71,6 +82,17 @@
         assertTrue(flags(72, "variable", false).contains("-Xmx24m "));
     }
 
+    /** A JVM leaves SIGHUP ignored where it finds it so, and then no new configuration is taken. */
+    @Test
+    void theJvmIsStartedWithHangUpsNotIgnoredThoughTheParentIgnoresThem() throws Exception {
+        String program =
+                "while read -r field value; do"
+                        + " [ \"$field\" = SigIgn: ] && echo \"$value\";"
+                        + " done < /proc/self/status; exit 0";
+        String ignored = said(144, "variable", false, program, "trap '' HUP; exec \"$@\"").strip();
+        assertEquals(0, Long.parseUnsignedLong(ignored, 16) & 1, ignored);
+    }
+
     @Test
     void theArchiveIsNamedOnlyWhereItIsThere() throws Exception {
         assertFalse(flags(144, "variable", false).contains("SharedArchiveFile"));
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -451,6 +452,28 @@
         }
     }
 
+    /** As under nohup: the JVM leaves the signal ignored, and operators have to be told. */
+    @Test
+    void saysThatHangUpsAreIgnoredWhereItIsStartedSo() throws Exception {
+        try (Rig rig = new Rig(folder)) {
+            Map<String, String> env = new HashMap<>(rig.environment());
+            InetSocketAddress address = freeAddress();
+            env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
+            ProcessBuilder builder = command(env);
+            builder.command().addAll(0, List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+            Process process = builder.start();
+            try {
+                awaitListening(address);
+                process.toHandle().destroy();
+                String log =
+                        new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(log.contains("SIGHUP is ignored since the start"), log);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     private static Process serve(Rig rig, InetSocketAddress address) throws IOException {
         return serve(rig, address, Map.of());
     }
@@ -460,6 +483,10 @@
         Map<String, String> env = new HashMap<>(rig.environment());
         env.putAll(more);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
+        return command(env).start();
+    }
+
+    private static ProcessBuilder command(Map<String, String> env) {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         ProcessBuilder builder =
                 new ProcessBuilder(
@@ -469,7 +496,7 @@
                         "passhatch.cli.Main",
                         "serve");
         builder.environment().putAll(env);
-        return builder.start();
+        return builder;
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
