--- a/src/main/java/passhatch/distribution/Participant.java
+++ b/src/main/java/passhatch/distribution/Participant.java
@@ -224,6 +224,17 @@
         return leader != null && leader.isLeading();
     }
 
+    /** Whether this replica counts towards majorities; false for other roles. */
+    public boolean founded() {
+        return replica != null && replica.founded();
+    }
+
+    /** The source that is followed just now; null where there is none. */
+    public String source() {
+        Follower following = follower == null ? catchUp : follower;
+        return following == null ? null : following.source();
+    }
+
     /** The epoch of the state in force here; 0 where there is none yet. */
     public long epoch() {
         return view.epoch();
