Encode the disk records of the distribution as versioned CBOR

A participant's records could not be written to a store. Each is a CBOR array that begins with the version of the format and the kind; one of a newer format is refused. 20,000 random records are read as they were written, and each one cut short is refused.

--- /dev/null
+++ b/src/main/java/passhatch/distribution/DiskRecordCodec.java
@@ -0,0 +1,150 @@
+package passhatch.distribution;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import passhatch.distribution.DiskRecord.Appended;
+import passhatch.distribution.DiskRecord.Applied;
+import passhatch.distribution.DiskRecord.Committed;
+import passhatch.distribution.DiskRecord.Content;
+import passhatch.distribution.DiskRecord.Founded;
+import passhatch.distribution.DiskRecord.Promised;
+import passhatch.distribution.DiskRecord.Reset;
+import passhatch.fleet.CborReader;
+
+/**
+ * Disk records as bytes: a CBOR array that begins with the version of the format and the kind of
+ * the record. A later version of the program may add fields at an array's end; they are passed
+ * over.
+ */
+public final class DiskRecordCodec {
+
+    private static final int FORMAT_VERSION = 1;
+    private static final long MAX_NUMBER = Long.MAX_VALUE - 1;
+    private static final CBORFactory CBOR = new CBORFactory();
+
+    /** What a record is, in the order of their numbers on disk. */
+    private enum Kind {
+        PROMISED,
+        FOUNDED,
+        APPENDED,
+        COMMITTED,
+        APPLIED,
+        RESET,
+        CONTENT
+    }
+
+    private DiskRecordCodec() {}
+
+    /** A record as bytes. */
+    public static byte[] encode(DiskRecord record) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (CBORGenerator cbor = CBOR.createGenerator(out)) {
+            cbor.writeStartArray();
+            cbor.writeNumber(FORMAT_VERSION);
+            write(cbor, record);
+            cbor.writeEndArray();
+        } catch (IOException cannotBe) {
+            throw new IllegalStateException(cannotBe);
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(CBORGenerator cbor, DiskRecord record) throws IOException {
+        if (record instanceof Promised of) {
+            numbers(cbor, Kind.PROMISED, of.epoch(), of.term());
+        } else if (record instanceof Founded of) {
+            numbers(cbor, Kind.FOUNDED, of.epoch());
+        } else if (record instanceof Appended of) {
+            numbers(cbor, Kind.APPENDED, of.epoch());
+            entries(cbor, List.of(of.entry()));
+        } else if (record instanceof Committed of) {
+            numbers(cbor, Kind.COMMITTED, of.epoch(), of.version());
+        } else if (record instanceof Applied of) {
+            numbers(cbor, Kind.APPLIED, of.epoch(), of.upto(), of.uptoTerm());
+            entries(cbor, of.entries());
+        } else if (record instanceof Reset of) {
+            numbers(cbor, Kind.RESET, of.epoch(), of.version(), of.versionTerm(), of.floor());
+        } else if (record instanceof Content of) {
+            numbers(cbor, Kind.CONTENT);
+            entries(cbor, of.entries());
+        }
+    }
+
+    private static void numbers(CBORGenerator cbor, Kind kind, long... numbers) throws IOException {
+        cbor.writeNumber(kind.ordinal());
+        for (long number : numbers) {
+            cbor.writeNumber(number);
+        }
+    }
+
+    private static void entries(CBORGenerator cbor, List<LogEntry> entries) throws IOException {
+        cbor.writeStartArray();
+        for (LogEntry entry : entries) {
+            cbor.writeStartArray();
+            cbor.writeNumber(entry.version());
+            cbor.writeNumber(entry.term());
+            cbor.writeString(entry.key());
+            cbor.writeString(entry.value());
+            cbor.writeEndArray();
+        }
+        cbor.writeEndArray();
+    }
+
+    /**
+     * A record from its bytes.
+     *
+     * @throws IOException where they are none, or of a newer format
+     */
+    public static DiskRecord decode(byte[] bytes) throws IOException {
+        try (JsonParser parser = CBOR.createParser(bytes)) {
+            CborReader cbor = new CborReader(parser);
+            cbor.begin();
+            long version = cbor.number(1, Integer.MAX_VALUE);
+            if (version != FORMAT_VERSION) {
+                throw new IOException("a record of format " + version + ", of a newer program");
+            }
+            Kind kind = Kind.values()[cbor.integer(0, Kind.values().length - 1)];
+            DiskRecord record = read(cbor, kind);
+            cbor.passOver();
+            return record;
+        }
+    }
+
+    private static DiskRecord read(CborReader cbor, Kind kind) throws IOException {
+        return switch (kind) {
+            case PROMISED -> new Promised(number(cbor), number(cbor));
+            case FOUNDED -> new Founded(number(cbor));
+            case APPENDED -> appended(cbor);
+            case COMMITTED -> new Committed(number(cbor), number(cbor));
+            case APPLIED -> new Applied(number(cbor), number(cbor), number(cbor), entries(cbor));
+            case RESET -> new Reset(number(cbor), number(cbor), number(cbor), number(cbor));
+            case CONTENT -> new Content(entries(cbor));
+        };
+    }
+
+    private static Appended appended(CborReader cbor) throws IOException {
+        long epoch = number(cbor);
+        List<LogEntry> entries = entries(cbor);
+        CborReader.require(entries.size() == 1);
+        return new Appended(epoch, entries.get(0));
+    }
+
+    private static long number(CborReader cbor) throws IOException {
+        return cbor.number(0, MAX_NUMBER);
+    }
+
+    private static List<LogEntry> entries(CborReader cbor) throws IOException {
+        List<LogEntry> entries = new ArrayList<>();
+        cbor.begin();
+        while (cbor.beginOrEnd()) {
+            entries.add(new LogEntry(number(cbor), number(cbor), cbor.text(), cbor.textOrNull()));
+            cbor.passOver();
+        }
+        return List.copyOf(entries);
+    }
+}
