Read a part on the distribution of changes in the agent's configuration

Roles, addresses and services had no place in the file. What cannot be used is one line with its key; a replica has to be a voter, as only who holds the duty 'changes' may lead.

--- a/src/main/java/passhatch/agent/AgentConfig.java
+++ b/src/main/java/passhatch/agent/AgentConfig.java
@@ -24,8 +24,10 @@
  * @param store folder of what has to survive a power loss
  * @param fleet null where the process takes part in no fleet
  * @param duties null where it neither votes nor wants a duty
+ * @param changes null where it takes no part in the distribution of changes
  */
-record AgentConfig(InetSocketAddress control, Path store, Fleet fleet, Duties duties) {
+record AgentConfig(
+        InetSocketAddress control, Path store, Fleet fleet, Duties duties, ChangesConfig changes) {
 
     /** The shortest and the longest probe period. */
     private static final Duration SHORTEST = Duration.ofMillis(50);
@@ -120,7 +122,8 @@
             @JsonProperty("bytes_per_second") Long bytesPerSecond,
             @JsonProperty("forget_after") Duration forgetAfter) {}
 
-    private record Whole(AgentPart agent, FleetPart fleet, Duties duties) {}
+    private record Whole(
+            AgentPart agent, FleetPart fleet, Duties duties, ChangesConfig.Part changes) {}
 
     /** Reads a file and the environment; throws {@link BadInput} with the key and the reason. */
     static AgentConfig read(Path path, Map<String, String> env) {
@@ -129,7 +132,8 @@
                 given.over(
                         DEFAULTS
                                 + (given.tree().has("fleet") ? FLEET_DEFAULTS : "")
-                                + (given.tree().has("duties") ? DUTY_DEFAULTS : ""));
+                                + (given.tree().has("duties") ? DUTY_DEFAULTS : "")
+                                + (given.tree().has("changes") ? ChangesConfig.DEFAULTS : ""));
         Whole whole = file.as(Whole.class);
         file.require(
                 whole.agent().store() != null && !whole.agent().store().isBlank(),
@@ -138,11 +142,15 @@
         if (whole.duties() != null) {
             check(file, whole);
         }
+        Fleet fleet = whole.fleet() == null ? null : fleet(file, whole.fleet(), env);
         return new AgentConfig(
                 address(file, "agent.control", whole.agent().control()),
                 Path.of(whole.agent().store()),
-                whole.fleet() == null ? null : fleet(file, whole.fleet(), env),
-                whole.duties());
+                fleet,
+                whole.duties(),
+                whole.changes() == null
+                        ? null
+                        : ChangesConfig.checked(file, whole.changes(), fleet, whole.duties()));
     }
 
     private static void check(TomlFile file, Whole whole) {
@@ -233,7 +241,8 @@
         return given != null && given.compareTo(least) >= 0 && given.compareTo(most) <= 0;
     }
 
-    private static InetSocketAddress address(TomlFile file, String key, String text) {
+    /** An address, or {@link BadInput} with its key. */
+    static InetSocketAddress address(TomlFile file, String key, String text) {
         try {
             return Addresses.parse(text == null ? "" : text);
         } catch (IllegalArgumentException bad) {
--- /dev/null
+++ b/src/main/java/passhatch/agent/ChangesConfig.java
@@ -0,0 +1,162 @@
+package passhatch.agent;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+import passhatch.agent.config.TomlFile;
+import passhatch.distribution.ConfigKey;
+import passhatch.distribution.DistributionSettings.Role;
+import passhatch.distribution.Setting;
+
+/**
+ * The part on the distribution of changes, checked.
+ *
+ * @param listen the address of its own socket
+ * @param epoch of the log; raised when it is founded anew
+ * @param replicas addresses of all replicas, the own one among them; of a replica only
+ * @param sources addresses to follow, the preferred first; empty for a replica
+ * @param services whose keys a subscriber wants
+ * @param publish file for the values in force, or null
+ */
+record ChangesConfig(
+        Role role,
+        InetSocketAddress listen,
+        long epoch,
+        List<String> replicas,
+        List<String> sources,
+        List<String> services,
+        Path publish) {
+
+    /** The duty whose holder leads. */
+    static final String DUTY = "changes";
+
+    /** What a file may leave out. */
+    static final String DEFAULTS =
+            """
+            [changes]
+            epoch = 1
+            replicas = []
+            sources = []
+            services = []
+            """;
+
+    private static final int MAX_SOURCES = 16;
+    private static final int MAX_SERVICES = 64;
+
+    /** As it is written in the file. */
+    record Part(
+            String role,
+            String listen,
+            Long epoch,
+            List<String> replicas,
+            List<String> sources,
+            List<String> services,
+            String publish) {}
+
+    /** Checks the part; what cannot be used is told by its key. */
+    static ChangesConfig checked(
+            TomlFile file, Part part, AgentConfig.Fleet fleet, AgentConfig.Duties duties) {
+        file.require(fleet != null, "changes", "a part [fleet] beside it");
+        Role role = role(file, part.role());
+        InetSocketAddress listen = AgentConfig.address(file, "changes.listen", part.listen());
+        file.require(
+                !listen.equals(fleet.listen()),
+                "changes.listen",
+                "another address than fleet.listen");
+        file.require(
+                part.epoch() >= 1 && part.epoch() <= Integer.MAX_VALUE,
+                "changes.epoch",
+                "1 to " + Integer.MAX_VALUE);
+        ChangesConfig config =
+                new ChangesConfig(
+                        role,
+                        listen,
+                        part.epoch(),
+                        addresses(file, "changes.replicas", part.replicas()),
+                        addresses(file, "changes.sources", part.sources()),
+                        List.copyOf(part.services()),
+                        part.publish() == null ? null : Path.of(part.publish()));
+        if (role == Role.REPLICA) {
+            config.checkReplica(file, fleet, duties);
+        } else {
+            config.checkFollower(file, duties);
+        }
+        return config;
+    }
+
+    private static Role role(TomlFile file, String text) {
+        List<Role> roles = Arrays.asList(Role.values());
+        List<String> labels = roles.stream().map(ChangesConfig::label).toList();
+        file.require(
+                labels.contains(text),
+                "changes.role",
+                labels.stream().map(l -> '"' + l + '"').collect(Collectors.joining(", ")));
+        return roles.get(labels.indexOf(text));
+    }
+
+    /** A role as it is written. */
+    static String label(Role role) {
+        return role.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static List<String> addresses(TomlFile file, String key, List<String> texts) {
+        List<String> all =
+                texts.stream()
+                        .map(t -> MembersText.text(AgentConfig.address(file, key, t)))
+                        .toList();
+        file.require(new HashSet<>(all).size() == all.size(), key, "each address once");
+        return all;
+    }
+
+    private void checkReplica(TomlFile file, AgentConfig.Fleet fleet, AgentConfig.Duties duties) {
+        file.require(
+                duties != null, "changes.role", "a part [duties] beside it, as a replica may lead");
+        file.require(
+                duties.voters().contains(fleet.self()),
+                "duties.voters",
+                fleet.self() + " among them, as it is a replica");
+        int count = replicas.size();
+        file.require(
+                count == 3 || count == 5 || count == 7,
+                "changes.replicas",
+                "the addresses of three, five or seven replicas");
+        file.require(
+                replicas.contains(MembersText.text(listen)),
+                "changes.replicas",
+                "changes.listen among them");
+        file.require(sources.isEmpty(), "changes.sources", "none, as a replica follows nobody");
+        file.require(services.isEmpty(), "changes.services", "none, as a replica has all keys");
+    }
+
+    private void checkFollower(TomlFile file, AgentConfig.Duties duties) {
+        file.require(
+                !sources.isEmpty() && sources.size() <= MAX_SOURCES,
+                "changes.sources",
+                "1 to " + MAX_SOURCES + " addresses, the preferred first");
+        file.require(
+                !sources.contains(MembersText.text(listen)),
+                "changes.sources",
+                "other addresses than changes.listen");
+        file.require(
+                role == Role.SUBSCRIBER || services.isEmpty(),
+                "changes.services",
+                "none, as a relay has all keys");
+        file.require(
+                services.size() <= MAX_SERVICES
+                        && services.stream().allMatch(ChangesConfig::isService),
+                "changes.services",
+                "names of at most " + MAX_SERVICES + " services");
+        file.require(
+                duties == null || !duties.wanted().contains(DUTY),
+                "duties.wanted",
+                "no '" + DUTY + "', as only replicas may lead");
+    }
+
+    private static boolean isService(String name) {
+        return name != null && ConfigKey.isKey("service/" + name + "/" + Setting.ENABLED.label());
+    }
+}
--- a/src/main/java/passhatch/agent/MembersText.java
+++ b/src/main/java/passhatch/agent/MembersText.java
@@ -61,7 +61,8 @@
         }
     }
 
-    private static String text(InetSocketAddress address) {
+    /** An address as it is written. */
+    static String text(InetSocketAddress address) {
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
--- a/src/test/java/passhatch/agent/AgentConfigTest.java
+++ b/src/test/java/passhatch/agent/AgentConfigTest.java
@@ -103,4 +103,73 @@
         assertTrue(bad.getMessage().contains(told), bad.getMessage());
         assertEquals(1, bad.getMessage().lines().count());
     }
+
+    private static final String REPLICA =
+            AGENT
+                    + FLEET
+                    + """
+                    [duties]
+                    voters = ["n1", "n2", "n3"]
+                    [changes]
+                    role = "replica"
+                    listen = "127.0.0.1:7950"
+                    replicas = ["127.0.0.1:7950", "127.0.0.1:7951", "127.0.0.1:7952"]
+                    """;
+    private static final String SUBSCRIBER =
+            AGENT
+                    + FLEET
+                    + """
+                    [changes]
+                    role = "subscriber"
+                    listen = "127.0.0.1:7950"
+                    sources = ["127.0.0.1:7951"]
+                    services = ["claims", "rates"]
+                    """;
+
+    @Test
+    void aPartOnChangesIsRead() throws IOException {
+        ChangesConfig replica = read(REPLICA, Map.of()).changes();
+        assertEquals(1, replica.epoch());
+        assertEquals(3, replica.replicas().size());
+        assertEquals(
+                "subscriber", ChangesConfig.label(read(SUBSCRIBER, Map.of()).changes().role()));
+        assertNull(read(AGENT + FLEET, Map.of()).changes());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "true  | \"replica\"      | \"leader\"    | changes.role: expected \"replica\"",
+                "true  | voters = [\"n1\" | voters = [\"n4\" | duties.voters: expected n1 among",
+                "true  | [\"127.0.0.1:7950\", \"127.0.0.1:7951\" | [\"127.0.0.1:7950\""
+                        + " | changes.replicas: expected the addresses of three",
+                "true  | 127.0.0.1:7952   | 127.0.0.1:7951 | changes.replicas: expected each",
+                "true  | = \"127.0.0.1:7950\" | = \"127.0.0.1:7953\""
+                        + " | changes.replicas: expected changes.listen among",
+                "true  | = \"127.0.0.1:7950\" | = \"127.0.0.1:7946\""
+                        + " | changes.listen: expected another address",
+                "true  | role = \"replica\" | role = \"replica\"\\nepoch = 0"
+                        + " | changes.epoch: expected 1",
+                "true  | role = \"replica\" | role = \"replica\"\\nservices = [\"a\"]"
+                        + " | changes.services: expected none",
+                "false | \"subscriber\"   | \"replica\"   | changes.role: expected a part [duties]",
+                "false | \"subscriber\"   | \"relay\"     | changes.services: expected none",
+                "false | [\"127.0.0.1:7951\"] | [] | changes.sources: expected 1 to",
+                "false | [\"127.0.0.1:7951\"] | [\"here\"] | changes.sources: 'here'",
+                "false | [\"127.0.0.1:7951\"] | [\"127.0.0.1:7950\"]"
+                        + " | changes.sources: expected other",
+                "false | \"claims\"       | \"Claims!\"   | changes.services: expected names",
+                "false | services         | servces        | changes.servces: unknown key",
+                "false | [changes]        | [duties]\\n"
+                        + "voters = [\"a\", \"b\", \"c\"]\\n"
+                        + "wanted = [\"changes\"]\\n"
+                        + "[changes] | duties.wanted: expected no 'changes'"
+            })
+    void aBadPartOnChangesIsToldByItsKey(boolean replica, String from, String to, String told) {
+        String text = (replica ? REPLICA : SUBSCRIBER).replace(from, to.replace("\\n", "\n"));
+        BadInput bad = assertThrows(BadInput.class, () -> read(text, Map.of()));
+        assertTrue(bad.getMessage().contains(told), bad.getMessage());
+        assertEquals(1, bad.getMessage().lines().count());
+    }
 }
