Run the distribution of changes in the agent, and answer operators on it

The state machines have run in no process. A node drives them on the agent's event loop over a UDP socket and a store of its own; a replica leads while the process has the duty 'changes', and gives it up where it can lead no longer. Operators submit changes, ask for their outcome, and see version, age, followers and dropped datagrams. The control address answers at once, so a change is accepted with its version and term, by which its outcome is asked for.

--- a/src/main/java/passhatch/agent/Agent.java
+++ b/src/main/java/passhatch/agent/Agent.java
@@ -12,9 +12,11 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import passhatch.agent.config.BadInput;
+import passhatch.distribution.DistributionSettings.Role;
 import passhatch.proxy.base.EventLog;
 import passhatch.proxy.base.HangUp;
 import passhatch.proxy.control.Control;
@@ -28,6 +30,9 @@
     /** So long the others are told that this one goes. */
     private static final long FAREWELL_MS = 1_000;
 
+    /** Within the store's folder: what there is on disk of the distribution of changes. */
+    private static final String CHANGES_FOLDER = "changes";
+
     private final Path file;
     private final Map<String, String> env;
     private final EventLoop loop;
@@ -40,6 +45,11 @@
     /** Null where no duties are configured. */
     private DutyNode duties;
 
+    /** Null where no distribution of changes is configured. */
+    private ChangesNode changes;
+
+    private ChangesCalls changesCalls;
+
     private Agent(Path file, Map<String, String> env) {
         this.file = file;
         this.env = env;
@@ -83,26 +93,18 @@
             node = new FleetNode(loop, config.fleet(), store);
             SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
             node.start(version, random);
+            if (config.changes() != null) {
+                startChanges(random);
+            }
             if (config.duties() != null) {
-                loop.submit(
-                                () -> {
-                                    duties =
-                                            new DutyNode(
-                                                    loop,
-                                                    node,
-                                                    store,
-                                                    config.duties(),
-                                                    config.fleet().self(),
-                                                    random);
-                                })
-                        .sync();
+                loop.submit(() -> startDuties(random)).sync();
             }
         }
         new Control(
                         loop,
                         new EventLog(System.err),
                         () -> node == null || node.takesPart(),
-                        () -> node == null ? "" : MembersText.figures(node),
+                        this::figures,
                         this::answer)
                 .listen(config.control());
         LOG.atInfo()
@@ -112,8 +114,36 @@
                 .log("the agent runs");
     }
 
+    private void startChanges(RandomGenerator random)
+            throws IOException, StoreException, InterruptedException {
+        changes = new ChangesNode(loop, config.changes(), config.fleet());
+        changes.start(config.store().resolve(CHANGES_FOLDER), random);
+        changesCalls = new ChangesCalls(changes);
+    }
+
+    private void startDuties(RandomGenerator random) {
+        boolean mayLead = changes != null && changes.role() == Role.REPLICA;
+        Map<String, DutyHolder> holders = mayLead ? Map.of(ChangesConfig.DUTY, changes) : Map.of();
+        duties =
+                new DutyNode(
+                        loop, node, store, config.duties(), config.fleet().self(), random, holders);
+        if (mayLead) {
+            changes.onStepDown(() -> duties.giveUp(ChangesConfig.DUTY, null));
+        }
+    }
+
+    private String figures() {
+        return (node == null ? "" : MembersText.figures(node))
+                + (changes == null ? "" : changesCalls.figures());
+    }
+
     private String answer(String call) {
         String[] words = call.split(" +");
+        if (ChangesCalls.isCall(words[0])) {
+            return changes == null
+                    ? "error no distribution of changes is configured\n"
+                    : changesCalls.answer(words);
+        }
         return switch (words[0]) {
             case "members" ->
                     node == null ? "error no fleet is configured\n" : MembersText.json(node);
@@ -140,6 +170,7 @@
                     newer.control().equals(config.control())
                             && newer.store().equals(config.store())
                             && Objects.equals(newer.duties(), config.duties())
+                            && Objects.equals(newer.changes(), config.changes())
                             && (config.fleet() == null
                                     ? newer.fleet() == null
                                     : config.fleet().sameButMembers(newer.fleet()));
@@ -171,6 +202,9 @@
             TimeUnit.MILLISECONDS.sleep(FAREWELL_MS);
             loop.submit(
                             () -> {
+                                if (changes != null) {
+                                    changes.close();
+                                }
                                 store.close();
                                 return null;
                             })
--- /dev/null
+++ b/src/main/java/passhatch/agent/ChangesNode.java
@@ -0,0 +1,346 @@
+package passhatch.agent;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import passhatch.agent.config.BadInput;
+import passhatch.distribution.DiskRecord;
+import passhatch.distribution.DistributionActions;
+import passhatch.distribution.DistributionSettings;
+import passhatch.distribution.DistributionSettings.Role;
+import passhatch.distribution.InvalidChangeException;
+import passhatch.distribution.Message;
+import passhatch.distribution.MessageCodec;
+import passhatch.distribution.Participant;
+import passhatch.fleet.Drop;
+import passhatch.proxy.base.Addresses;
+import passhatch.store.StoreException;
+
+/**
+ * Drives this machine's part in the distribution of changes: over a UDP socket and a store of its
+ * own, on the agent's event loop. A replica leads while this process has the duty {@link
+ * ChangesConfig#DUTY}.
+ */
+final class ChangesNode implements DistributionActions, DutyHolder {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ChangesNode.class);
+
+    /** More than is allowed, so that a datagram that is too long is seen to be. */
+    private static final int RECEIVE_BYTES = 512;
+
+    private static final int DATAGRAMS_A_TURN = 256;
+
+    /** Changes within this time are published together. */
+    private static final long PUBLISH_DELAY_MS = 50;
+
+    private final EventLoop loop;
+    private final ChangesConfig config;
+    private final AgentConfig.Fleet fleet;
+    private final ValuesFile valuesFile;
+    private final SubmittedChanges submitted = new SubmittedChanges();
+    private final Map<Drop, Long> dropped = new EnumMap<>(Drop.class);
+
+    /** Null where a follower goes on without a disk. */
+    private ChangesStore store;
+
+    private Participant participant;
+    private Channel socket;
+    private Runnable giveUpDuty = () -> {};
+    private ScheduledFuture<?> timer;
+    private long timerAtUs;
+    private boolean publishing;
+
+    ChangesNode(EventLoop loop, ChangesConfig config, AgentConfig.Fleet fleet) {
+        this.loop = loop;
+        this.config = config;
+        this.fleet = fleet;
+        this.valuesFile = config.publish() == null ? null : new ValuesFile(config.publish());
+    }
+
+    /**
+     * Reads what is on disk, listens, and takes part. On no thread of the loop.
+     *
+     * @param folder where the records are kept
+     * @throws IOException where the address cannot be used
+     * @throws StoreException where a replica's store cannot be used
+     * @throws BadInput where the disk has a higher epoch than the configuration
+     */
+    void start(Path folder, RandomGenerator random)
+            throws IOException, StoreException, InterruptedException {
+        openStore(folder);
+        List<DiskRecord> records = store == null ? List.of() : store.takeRecords();
+        ChannelFuture bound =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(RECEIVE_BYTES)
+                                        .maxMessagesPerRead(DATAGRAMS_A_TURN))
+                        .handler(new Receiver())
+                        .bind(config.listen())
+                        .await();
+        if (!bound.isSuccess()) {
+            throw new IOException(config.listen() + ": " + bound.cause().getMessage());
+        }
+        try {
+            loop.submit(() -> begin(bound.channel(), records, random)).sync();
+        } catch (IllegalArgumentException higherEpoch) {
+            throw new BadInput("changes.epoch: " + higherEpoch.getMessage());
+        }
+    }
+
+    private void openStore(Path folder) throws IOException, StoreException {
+        try {
+            store = ChangesStore.open(folder, fleet.self(), config.role(), config.services());
+            store.notes().forEach(note -> LOG.atWarn().addKeyValue("event", "store").log(note));
+        } catch (IOException | StoreException failed) {
+            if (config.role() == Role.REPLICA) {
+                throw failed;
+            }
+            LOG.atError()
+                    .addKeyValue("event", "store")
+                    .log("changes are kept in memory only: {}", failed.getMessage());
+        }
+    }
+
+    private void begin(Channel channel, List<DiskRecord> records, RandomGenerator random) {
+        DistributionSettings settings =
+                new DistributionSettings(
+                        fleet.self(),
+                        config.role(),
+                        config.epoch(),
+                        MembersText.text(config.listen()),
+                        config.replicas(),
+                        config.sources(),
+                        config.services());
+        socket = channel;
+        participant = new Participant(settings, records, FleetNode.nowUs(), random, this);
+        publishSoon();
+        settle();
+    }
+
+    /** What to do where this leader can lead no longer. */
+    void onStepDown(Runnable giveUp) {
+        giveUpDuty = giveUp;
+    }
+
+    /** The state machine; to be asked on the loop only. */
+    Participant participant() {
+        return participant;
+    }
+
+    Role role() {
+        return config.role();
+    }
+
+    /** Changes submitted at this process. */
+    SubmittedChanges submitted() {
+        return submitted;
+    }
+
+    /** Datagrams that were not taken, by reason. */
+    Map<Drop, Long> dropped() {
+        return Collections.unmodifiableMap(dropped);
+    }
+
+    /** Submits a change, as {@link Participant#submit} does. */
+    long submit(String key, String value, long ifVersion) throws InvalidChangeException {
+        try {
+            return participant.submit(FleetNode.nowUs(), key, value, ifVersion);
+        } finally {
+            settle();
+        }
+    }
+
+    /** Lets this replica count towards majorities though its disk is empty. */
+    boolean found() {
+        return participant.found();
+    }
+
+    /** Gives the disk up. */
+    void close() throws StoreException {
+        if (store != null) {
+            store.close();
+        }
+    }
+
+    private void settle() {
+        compact();
+        plan();
+    }
+
+    private void compact() {
+        if (store == null || participant.diskFailed() || !store.wantsSnapshot()) {
+            return;
+        }
+        try {
+            store.snapshot(participant.snapshot());
+        } catch (StoreException failed) {
+            // The next write fails as well, and the participant learns of it.
+            LOG.atError()
+                    .addKeyValue("event", "store")
+                    .log("changes: the log cannot be compacted: {}", failed.getMessage());
+        }
+    }
+
+    private void plan() {
+        long at = participant.wakeAtUs();
+        if (timer != null && timerAtUs <= at && !timer.isDone()) {
+            return; // It looks again when that one has run.
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerAtUs = at;
+        timer =
+                loop.schedule(
+                        this::wake, Math.max(0, at - FleetNode.nowUs()), TimeUnit.MICROSECONDS);
+    }
+
+    private void wake() {
+        timer = null;
+        try {
+            if (participant.wakeAtUs() <= FleetNode.nowUs()) {
+                participant.timer(FleetNode.nowUs());
+            }
+        } finally {
+            settle();
+        }
+    }
+
+    private void receive(String from, byte[] bytes) {
+        MessageCodec.Read read = MessageCodec.decode(fleet.name(), bytes);
+        if (read.fault() != null) {
+            dropped.merge(read.fault(), 1L, Long::sum);
+        } else if (isStranger(from, read.message())) {
+            dropped.merge(Drop.STRANGER, 1L, Long::sum);
+        } else {
+            participant.hear(FleetNode.nowUs(), from, read.message());
+        }
+    }
+
+    private boolean isStranger(String from, Message message) {
+        if (message instanceof Message.Poll || message instanceof Message.Ack) {
+            return false; // Whoever is of the fleet may follow.
+        }
+        return !config.replicas().contains(from) && !config.sources().contains(from);
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            if (participant != null) {
+                receive(MembersText.text(packet.sender()), ByteBufUtil.getBytes(packet.content()));
+                plan();
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (participant != null) {
+                settle();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.atWarn().addKeyValue("event", "socket").log("changes: {}", cause.toString());
+        }
+    }
+
+    private void publishSoon() {
+        if (valuesFile == null || publishing) {
+            return;
+        }
+        publishing = true;
+        loop.schedule(
+                () -> {
+                    publishing = false;
+                    valuesFile.replace(
+                            participant.epoch(), participant.version(), participant.values());
+                },
+                PUBLISH_DELAY_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void granted(long term) {
+        submitted.begin(term);
+        participant.granted(FleetNode.nowUs(), term);
+        settle();
+    }
+
+    @Override
+    public void lost(long term) {
+        submitted.end();
+        participant.lost();
+        settle();
+    }
+
+    @Override
+    public void send(String peer, Message message) {
+        socket.writeAndFlush(
+                new DatagramPacket(
+                        Unpooled.wrappedBuffer(MessageCodec.encode(fleet.name(), message)),
+                        Addresses.parse(peer)),
+                socket.voidPromise());
+    }
+
+    @Override
+    public boolean force(List<DiskRecord> records) {
+        if (store == null) {
+            return false;
+        }
+        try {
+            store.append(records);
+            return true;
+        } catch (StoreException failed) {
+            // Told once: nothing is forced again after a failure.
+            LOG.atError()
+                    .addKeyValue("event", "store")
+                    .log("changes are not durable here: {}", failed.getMessage());
+            return false;
+        }
+    }
+
+    @Override
+    public void inForce(long epoch, long version) {
+        publishSoon();
+    }
+
+    @Override
+    public void committed(long version) {
+        submitted.committed(version);
+    }
+
+    @Override
+    public void stepDown(long term, String reason) {
+        LOG.atWarn()
+                .addKeyValue("event", "changes")
+                .addKeyValue("term", term)
+                .log("this replica leads no longer: {}", reason);
+        // Later, as the lease may be the caller's caller.
+        loop.execute(giveUpDuty);
+    }
+}
--- a/src/main/java/passhatch/agent/DutyNode.java
+++ b/src/main/java/passhatch/agent/DutyNode.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -44,10 +46,12 @@
     private final class Run implements DutyActions {
         private final String duty;
         private final Candidate candidate;
+        private final DutyHolder told;
         private ScheduledFuture<?> timer;
 
-        Run(String duty, String holder, RandomGenerator random) {
+        Run(String duty, String holder, RandomGenerator random, DutyHolder told) {
             this.duty = duty;
+            this.told = told;
             this.candidate = new Candidate(settings, duty, holder, config.rank(), random, this);
         }
 
@@ -80,6 +84,9 @@
                     .addKeyValue("duty", duty)
                     .addKeyValue("term", term)
                     .log("this process has the duty");
+            if (told != null) {
+                told.granted(term);
+            }
         }
 
         @Override
@@ -89,17 +96,26 @@
                     .addKeyValue("duty", duty)
                     .addKeyValue("term", term)
                     .log("the duty is gone");
+            if (told != null) {
+                told.lost(term);
+            }
         }
     }
 
-    /** Takes part from now on; on the loop. */
+    /**
+     * Takes part from now on; on the loop.
+     *
+     * @param holders parts of this process that are told when it has a duty or has it no more;
+     *     their duties are wanted beside those that are configured
+     */
     DutyNode(
             EventLoop loop,
             FleetNode fleet,
             AgentStore store,
             AgentConfig.Duties config,
             String self,
-            RandomGenerator random) {
+            RandomGenerator random,
+            Map<String, DutyHolder> holders) {
         this.loop = loop;
         this.fleet = fleet;
         this.store = store;
@@ -116,8 +132,10 @@
         }
         fleet.duties(this::hear);
         recall();
-        for (String duty : config.wanted()) {
-            Run run = new Run(duty, self + ":" + store.epoch(), random);
+        Set<String> wanted = new TreeSet<>(config.wanted());
+        wanted.addAll(holders.keySet());
+        for (String duty : wanted) {
+            Run run = new Run(duty, self + ":" + store.epoch(), random, holders.get(duty));
             candidates.put(duty, run);
             run.candidate.want(FleetNode.nowUs());
             run.plan();
--- /dev/null
+++ b/src/main/java/passhatch/agent/ValuesFile.java
@@ -0,0 +1,49 @@
+package passhatch.agent;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The file with the values in force, for programs on this machine that read them there. */
+final class ValuesFile {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ValuesFile.class);
+
+    private final Path path;
+    private boolean failed;
+
+    ValuesFile(Path path) {
+        this.path = path;
+    }
+
+    /** Replaces the file, so that a reader sees the values of one version. Failures are logged. */
+    void replace(long epoch, long version, Map<String, String> values) {
+        Map<String, Object> content = new LinkedHashMap<>();
+        content.put("epoch", epoch);
+        content.put("version", version);
+        content.put("values", values);
+        Path temporary = path.resolveSibling(path.getFileName() + ".new");
+        try {
+            Files.write(temporary, JSON.std.asBytes(content));
+            Files.move(
+                    temporary,
+                    path,
+                    StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+            failed = false;
+        } catch (IOException unwritable) {
+            if (!failed) {
+                LOG.atError()
+                        .addKeyValue("event", "changes")
+                        .log("the values in force cannot be published: {}", unwritable.toString());
+            }
+            failed = true;
+        }
+    }
+}
