--- a/src/main/java/passhatch/cli/AgentCall.java
+++ b/src/main/java/passhatch/cli/AgentCall.java
@@ -41,18 +41,10 @@
 
     /** The answer to a call, which has to begin with this. */
     String ask(String call, String begins) throws IOException {
-        InetSocketAddress address;
-        try {
-            address = Addresses.parse(control);
-        } catch (IllegalArgumentException bad) {
-            throw new BadInput("--control: " + bad.getMessage());
-        }
+        InetSocketAddress address = address(control);
         String answer;
-        try (Socket socket = new Socket()) {
-            socket.connect(address, PATIENCE_MS);
-            socket.setSoTimeout(PATIENCE_MS);
-            socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
-            answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        try (Socket socket = connect(address)) {
+            answer = exchange(socket, call);
         } catch (IOException failed) {
             throw new IOException(control + ": " + failed.getMessage(), failed);
         }
@@ -62,4 +54,32 @@
         }
         return answer;
     }
+
+    /** The address that an option gives. */
+    static InetSocketAddress address(String control) {
+        try {
+            return Addresses.parse(control);
+        } catch (IllegalArgumentException bad) {
+            throw new BadInput("--control: " + bad.getMessage());
+        }
+    }
+
+    /** A connection to an agent, for one call. */
+    static Socket connect(InetSocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.connect(address, PATIENCE_MS);
+            socket.setSoTimeout(PATIENCE_MS);
+            return socket;
+        } catch (IOException failed) {
+            socket.close();
+            throw failed;
+        }
+    }
+
+    /** Makes the call of a connection, and gives its answer. */
+    static String exchange(Socket socket, String call) throws IOException {
+        socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.US_ASCII));
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
 }
--- /dev/null
+++ b/src/main/java/passhatch/cli/ChangesCommand.java
@@ -0,0 +1,152 @@
+package passhatch.cli;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import passhatch.agent.config.BadInput;
+import passhatch.distribution.ConfigKey;
+import passhatch.distribution.InvalidChangeException;
+import passhatch.distribution.Setting;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The command {@code changes}: shows and makes changes of the fleet's configuration. */
+@Command(
+        name = "changes",
+        mixinStandardHelpOptions = true,
+        description =
+                "Shows and makes changes of the fleet's configuration (docs/distribution.md).")
+final class ChangesCommand extends CommandGroup {
+
+    /** With its subcommands. */
+    static CommandLine line() {
+        return new CommandLine(new ChangesCommand())
+                .addSubcommand(new Status())
+                .addSubcommand(new Put())
+                .addSubcommand(new Delete())
+                .addSubcommand(new Get())
+                .addSubcommand(new Found());
+    }
+
+    /** What all subcommands have. */
+    private abstract static class Subcommand implements Callable<Integer> {
+        @Spec private CommandSpec spec;
+        @Mixin private ChangesCall agents;
+
+        /** The line to print. */
+        abstract String answer(ChangesCall of) throws IOException, InterruptedException;
+
+        @Override
+        public final Integer call() throws IOException, InterruptedException {
+            String answer = answer(agents);
+            spec.commandLine().getOut().println(answer);
+            spec.commandLine().getOut().flush();
+            return 0;
+        }
+    }
+
+    /** What the subcommands that make a change have. */
+    private abstract static class Change extends Subcommand {
+        @Parameters(
+                index = "0",
+                paramLabel = "KEY",
+                description = "service/NAME/SETTING or fleet/SETTING.")
+        protected String key;
+
+        @Option(
+                names = "--if-version",
+                paramLabel = "VERSION",
+                description = "Only where this is the version of the key's value; 0: not set.")
+        private Long ifVersion;
+
+        String submit(ChangesCall agents, String word, String value)
+                throws IOException, InterruptedException {
+            try {
+                Setting.check(key, value);
+            } catch (InvalidChangeException invalid) {
+                throw new BadInput(invalid.getMessage());
+            }
+            if (ifVersion != null && ifVersion < 0) {
+                throw new BadInput("--if-version: '" + ifVersion + "': expected 0 or more");
+            }
+            String call =
+                    word
+                            + " "
+                            + key
+                            + (value == null ? "" : " " + value)
+                            + (ifVersion == null ? "" : " " + ifVersion);
+            return "done " + agents.submit(call);
+        }
+    }
+
+    @Command(
+            name = "status",
+            mixinStandardHelpOptions = true,
+            description = "Shows an agent's part: role, version, age, followers.")
+    private static final class Status extends Subcommand {
+        @Override
+        String answer(ChangesCall agents) throws IOException {
+            return agents.ask("changes");
+        }
+    }
+
+    @Command(
+            name = "put",
+            mixinStandardHelpOptions = true,
+            description = "Sets a key; answers once a majority of replicas has it on disk.")
+    private static final class Put extends Change {
+        @Parameters(index = "1", paramLabel = "VALUE")
+        private String value;
+
+        @Override
+        String answer(ChangesCall agents) throws IOException, InterruptedException {
+            return submit(agents, "change-put", value);
+        }
+    }
+
+    @Command(
+            name = "delete",
+            mixinStandardHelpOptions = true,
+            description = "Deletes a key; answers once a majority of replicas has that on disk.")
+    private static final class Delete extends Change {
+        @Override
+        String answer(ChangesCall agents) throws IOException, InterruptedException {
+            return submit(agents, "change-delete", null);
+        }
+    }
+
+    @Command(
+            name = "get",
+            mixinStandardHelpOptions = true,
+            description = "Shows the values in force at an agent, with their versions.")
+    private static final class Get extends Subcommand {
+        @Parameters(index = "0", arity = "0..1", paramLabel = "KEY")
+        private String key;
+
+        @Override
+        String answer(ChangesCall agents) throws IOException {
+            if (key != null && !ConfigKey.isKey(key)) {
+                throw new BadInput("'" + key + "': expected service/NAME/SETTING or fleet/SETTING");
+            }
+            return agents.ask("change-get" + (key == null ? "" : " " + key));
+        }
+    }
+
+    @Command(
+            name = "found",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Once, at each replica, when the log is founded: lets it count towards"
+                            + " majorities although its disk is empty.")
+    private static final class Found extends Subcommand {
+        @Override
+        String answer(ChangesCall agents) throws IOException {
+            agents.ask("changes-found");
+            return "it counts towards majorities from now on";
+        }
+    }
+}
--- a/src/main/java/passhatch/cli/Commands.java
+++ b/src/main/java/passhatch/cli/Commands.java
@@ -39,7 +39,8 @@
                 .addSubcommand(StoreCommand.line())
                 .addSubcommand(new AgentCommand())
                 .addSubcommand(new MembersCommand())
-                .addSubcommand(new DutiesCommand());
+                .addSubcommand(new DutiesCommand())
+                .addSubcommand(ChangesCommand.line());
         return oneLineErrors(line);
     }
 
