Tell that a change's outcome is not known where the leader's disk fails under it

A leader whose write fails may have the entry on its disk all the same, and the next start brings it back. Operators were told 'refused' and would have tried another replica. Addresses are told as they were given, and the store is let go once at the end. The commands are tested with bad keys, values and addresses, and with nobody there.

--- a/src/main/java/passhatch/agent/ChangesCalls.java
+++ b/src/main/java/passhatch/agent/ChangesCalls.java
@@ -76,13 +76,17 @@
         if (ifVersion != null && expected < 0) {
             return "error '" + ifVersion + "': expected a version\n";
         }
-        if (!node.participant().isLeading()) {
+        if (!node.participant().isLeading() || node.participant().diskFailed()) {
             return "error not the leader\n";
         }
         try {
             long version = node.submit(key, value, expected);
             return "accepted " + version + " " + node.submitted().term() + "\n";
         } catch (InvalidChangeException refused) {
+            if (node.participant().diskFailed()) {
+                // It may be on the disk all the same, and show once this process starts again.
+                return "error outcome not known: the disk fails\n";
+            }
             return "error refused: " + refused.getMessage() + "\n";
         }
     }
--- a/src/main/java/passhatch/agent/ChangesNode.java
+++ b/src/main/java/passhatch/agent/ChangesNode.java
@@ -178,10 +178,11 @@
         return participant.found();
     }
 
-    /** Gives the disk up. */
+    /** Gives the disk up; nothing is confirmed after it. */
     void close() throws StoreException {
         if (store != null) {
             store.close();
+            store = null;
         }
     }
 
--- a/src/main/java/passhatch/cli/ChangesCall.java
+++ b/src/main/java/passhatch/cli/ChangesCall.java
@@ -13,6 +13,7 @@
     private static final String NOT_LEADER = "error not the leader";
     private static final String ACCEPTED = "accepted ";
     private static final String REFUSED = "error refused: ";
+    private static final String UNKNOWN = "error outcome not known";
     private static final long OUTCOME_WITHIN_MS = 3_000;
     private static final long ASK_AGAIN_MS = 20;
 
@@ -26,10 +27,11 @@
 
     /** The answer of the first agent that gives one. */
     String ask(String call) throws IOException {
+        checkAddresses();
         IOException last = null;
-        for (InetSocketAddress address : addresses()) {
-            try (Socket socket = AgentCall.connect(address)) {
-                return answered(address, AgentCall.exchange(socket, call));
+        for (String control : controls) {
+            try (Socket socket = AgentCall.connect(AgentCall.address(control))) {
+                return answered(control, AgentCall.exchange(socket, call));
             } catch (IOException failed) {
                 last = failed;
             }
@@ -37,15 +39,15 @@
         throw last;
     }
 
-    private List<InetSocketAddress> addresses() {
-        // All of them first, so that a bad one is told whether or not it would be tried.
-        return controls.stream().map(AgentCall::address).toList();
+    /** All of them first, so that a bad one is told whether or not it would be tried. */
+    private void checkAddresses() {
+        controls.forEach(AgentCall::address);
     }
 
-    private static String answered(InetSocketAddress address, String answer) throws IOException {
+    private static String answered(String control, String answer) throws IOException {
         if (answer.isBlank() || answer.startsWith("error")) {
             throw new IOException(
-                    address + ": " + (answer.isBlank() ? "no answer" : answer.strip()));
+                    control + ": " + (answer.isBlank() ? "no answer" : answer.strip()));
         }
         return answer.strip();
     }
@@ -57,8 +59,10 @@
      * @throws IOException where it is refused, nobody leads, or its outcome is not known
      */
     long submit(String call) throws IOException, InterruptedException {
+        checkAddresses();
         StringBuilder tried = new StringBuilder();
-        for (InetSocketAddress address : addresses()) {
+        for (String control : controls) {
+            InetSocketAddress address = AgentCall.address(control);
             String answer;
             try (Socket socket = AgentCall.connect(address)) {
                 answer = submitted(socket, call);
@@ -74,7 +78,7 @@
             if (answer.startsWith(REFUSED)) {
                 throw new IOException(answer.substring("error ".length()));
             }
-            tried.append(tried.isEmpty() ? "" : "; ").append(address).append(": ");
+            tried.append(tried.isEmpty() ? "" : "; ").append(control).append(": ");
             tried.append(answer.startsWith(NOT_LEADER) ? "not the leader" : answer);
         }
         throw new IOException("nobody takes the change: " + tried);
@@ -84,8 +88,8 @@
     private static String submitted(Socket socket, String call) throws OutcomeUnknownException {
         try {
             String answer = AgentCall.exchange(socket, call).strip();
-            if (answer.isEmpty()) {
-                throw new OutcomeUnknownException("no answer");
+            if (answer.isEmpty() || answer.startsWith(UNKNOWN)) {
+                throw new OutcomeUnknownException(answer.isEmpty() ? "no answer" : answer);
             }
             return answer;
         } catch (OutcomeUnknownException unknown) {
--- a/src/test/java/passhatch/cli/CommandsTest.java
+++ b/src/test/java/passhatch/cli/CommandsTest.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import picocli.CommandLine;
 
@@ -31,6 +32,27 @@
         assertEquals("", out.toString());
     }
 
+    /** Port 1 does not answer: what is wrong in the call is told before it is tried. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "2 | put service/claims/enabled 2 --control 127.0.0.1:1",
+                "2 | put service/claims/unknown 1 --control 127.0.0.1:1",
+                "2 | put claims 1 --control 127.0.0.1:1",
+                "2 | delete fleet/enabled --if-version -1 --control 127.0.0.1:1",
+                "2 | get claims --control 127.0.0.1:1",
+                "2 | status --control here",
+                "2 | put fleet/enabled 1",
+                "1 | put fleet/enabled 1 --control 127.0.0.1:1 --control 127.0.0.1:1",
+                "1 | status --control 127.0.0.1:1"
+            })
+    void aChangeThatCannotBeMadeIsOneLine(int status, String arguments) {
+        assertEquals(status, run(("changes " + arguments).split(" ")), err.toString());
+        assertEquals(1, err.toString().lines().count(), err.toString());
+        assertEquals("", out.toString());
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {"--help", "--version", "serve --help", "adapter --help", "rehearse --help"})
