--- a/src/main/java/passhatch/lab/drill/AgentChild.java
+++ b/src/main/java/passhatch/lab/drill/AgentChild.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.channels.DatagramChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -31,10 +29,7 @@
         this.name = name;
         this.folder = Files.createDirectories(folder);
         this.control = Local.freePort();
-        try (DatagramChannel socket = DatagramChannel.open()) {
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            this.listen = (InetSocketAddress) socket.getLocalAddress();
-        }
+        this.listen = Local.freeUdpPort();
         this.child =
                 new Child(
                         folder.getFileName().toString(),
@@ -65,6 +60,10 @@
         return listen;
     }
 
+    InetSocketAddress control() {
+        return control;
+    }
+
     Child child() {
         return child;
     }
@@ -117,7 +116,12 @@
 
     /** Its whole answer to {@code members}; empty where there is none. */
     Optional<JsonNode> answer() {
-        String text = Local.ask(control, "members");
+        return answer("members");
+    }
+
+    /** Its answer to a call that is answered with JSON; empty where there is none. */
+    Optional<JsonNode> answer(String call) {
+        String text = Local.ask(control, call);
         try {
             return text.startsWith("{") ? Optional.of(JSON.readTree(text)) : Optional.empty();
         } catch (IOException cut) {
--- a/src/main/java/passhatch/lab/drill/AgentField.java
+++ b/src/main/java/passhatch/lab/drill/AgentField.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntFunction;
 import passhatch.lab.Seeds;
 import passhatch.lab.standin.UdpRelay;
 
@@ -28,6 +29,12 @@
     /** The same with further parts of their configuration. */
     AgentField(Path jar, Path folder, List<String> names, long seed, String more)
             throws IOException {
+        this(jar, folder, names, seed, number -> more);
+    }
+
+    /** The same with further parts that each agent has for itself, by its number. */
+    AgentField(Path jar, Path folder, List<String> names, long seed, IntFunction<String> more)
+            throws IOException {
         this.names = names;
         this.relay = new UdpRelay(names.size(), new Seeds(seed).stream("relay"));
         for (int i = 0; i < names.size(); i++) {
@@ -35,7 +42,7 @@
             relay.listens(i, agents.get(i).listen());
         }
         for (int i = 0; i < names.size(); i++) {
-            agents.get(i).configure(relay.peersOf(i), relay.peersOf(i).get(i), more);
+            agents.get(i).configure(relay.peersOf(i), relay.peersOf(i).get(i), more.apply(i));
         }
     }
 
--- a/src/main/java/passhatch/lab/drill/Local.java
+++ b/src/main/java/passhatch/lab/drill/Local.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
@@ -22,6 +23,14 @@
         }
     }
 
+    /** The same for datagrams. */
+    static InetSocketAddress freeUdpPort() throws IOException {
+        try (DatagramChannel socket = DatagramChannel.open()) {
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            return (InetSocketAddress) socket.getLocalAddress();
+        }
+    }
+
     static String text(InetSocketAddress address) {
         return String.format(
                 Locale.ROOT, "%s:%d", address.getAddress().getHostAddress(), address.getPort());
