Have a new leader probe each log, adopt by parts, and go on where a replica lost its disk

By reading: a new leader sent all of the retained log again, adoption began anew after each loss, and waited for ever where the adopted replica was gone.

A peer is probed until an append is accepted; one that does not vote may fall back; what is no longer kept waits for the heartbeat; adoption goes on where it stood and asks all replicas anew after five unanswered requests.

--- a/src/main/java/passhatch/distribution/Leader.java
+++ b/src/main/java/passhatch/distribution/Leader.java
@@ -22,6 +22,9 @@
     /** Entries sent to a replica without being confirmed, at most. */
     private static final int WINDOW_ENTRIES = 64;
 
+    /** Requests for a log without an answer before another replica's is looked for. */
+    private static final int MAX_ADOPTING_RETRIES = 5;
+
     /** Uncommitted entries at most; above it changes are refused. */
     private static final int MAX_UNCOMMITTED = 1_024;
 
@@ -39,6 +42,9 @@
         private long sentUs;
         private long confirmedUs = Long.MIN_VALUE / 2;
         private boolean voting;
+
+        /** Whether it is not known yet up to where its log is the leader's. */
+        private boolean probing = true;
     }
 
     private final DistributionSettings settings;
@@ -49,6 +55,8 @@
     private final Map<String, Prepared> prepared = new HashMap<>();
     private Phase phase = Phase.PREPARING;
     private String adoptedFrom;
+    private long adoptedVersion;
+    private int adoptingRetries;
     private long wakeAtUs;
 
     Leader(
@@ -79,6 +87,11 @@
         return phase == Phase.LEADING;
     }
 
+    /** Whether it has stepped down or lost its lease. */
+    boolean isOver() {
+        return phase == Phase.OVER;
+    }
+
     long wakeAtUs() {
         return phase == Phase.OVER ? Long.MAX_VALUE : wakeAtUs;
     }
@@ -89,7 +102,7 @@
         }
         switch (phase) {
             case PREPARING -> prepare(nowUs);
-            case ADOPTING -> requestLog(nowUs, replica.state().version());
+            case ADOPTING -> adoptAgain(nowUs);
             case LEADING -> heartbeat(nowUs);
             case OVER -> wakeAtUs = Long.MAX_VALUE;
         }
@@ -152,28 +165,48 @@
             lead(nowUs);
         } else {
             phase = Phase.ADOPTING;
-            requestLog(nowUs, replica.state().version());
+            adoptingRetries = 0;
+            adoptedVersion = replica.state().version();
+            requestLog(nowUs);
         }
     }
 
-    private void requestLog(long nowUs, long after) {
+    /** Requests again what did not come; where nothing comes at all, asks all replicas anew. */
+    private void adoptAgain(long nowUs) {
+        if (++adoptingRetries <= MAX_ADOPTING_RETRIES) {
+            requestLog(nowUs);
+            return;
+        }
+        // None has accepted an entry of another leader since, and this one has appended none.
+        phase = Phase.PREPARING;
+        adoptedFrom = null;
+        prepared.clear();
+        prepare(nowUs);
+    }
+
+    private void requestLog(long nowUs) {
         wakeAtUs = nowUs + Timing.RETRY_US;
-        actions.send(adoptedFrom, new LogRequest(settings.epoch(), term, after));
+        actions.send(adoptedFrom, new LogRequest(settings.epoch(), term, adoptedVersion));
     }
 
     private void adopt(long nowUs, String from, LogPart part) {
-        if (phase != Phase.ADOPTING || !from.equals(adoptedFrom)) {
+        boolean expected =
+                phase == Phase.ADOPTING
+                        && from.equals(adoptedFrom)
+                        && part.previousVersion() == adoptedVersion;
+        if (!expected) {
             return;
         }
         if (!replica.take(part.entries())) {
             stepDown("the disk of this replica fails");
             return;
         }
-        long adopted = part.previousVersion() + part.entries().size();
-        if (adopted >= part.lastVersion()) {
+        adoptedVersion = part.previousVersion() + part.entries().size();
+        adoptingRetries = 0;
+        if (adoptedVersion >= part.lastVersion()) {
             lead(nowUs);
         } else {
-            requestLog(nowUs, adopted);
+            requestLog(nowUs);
         }
     }
 
@@ -256,8 +289,8 @@
         peers.forEach(
                 (name, peer) -> {
                     boolean overdue = nowUs - peer.sentUs >= Timing.RETRY_US;
-                    if (peer.matching + 1 < peer.next && overdue) {
-                        peer.next = Math.max(peer.matching, replica.log().baseVersion()) + 1;
+                    if (!peer.probing && peer.matching + 1 < peer.next && overdue) {
+                        peer.next = peer.matching + 1;
                     }
                     replicate(nowUs, name, peer, true);
                 });
@@ -270,13 +303,16 @@
             if (always) {
                 actions.send(name, new Behind(settings.epoch(), term));
                 // Refused until the replica has fetched the state; its answer says that it has.
+                peer.probing = true;
                 peer.next = log.baseVersion() + 1;
                 send(nowUs, name, peer, List.of());
             }
             return;
         }
         boolean sent = false;
-        while (peer.next <= log.lastVersion() && peer.next - peer.matching <= WINDOW_ENTRIES) {
+        while (!peer.probing
+                && peer.next <= log.lastVersion()
+                && peer.next - peer.matching <= WINDOW_ENTRIES) {
             List<LogEntry> entries = DatagramBudget.fitting(log.after(peer.next - 1));
             send(nowUs, name, peer, entries);
             peer.next += entries.size();
@@ -315,15 +351,28 @@
         peer.voting = of.voting();
         confirmed();
         if (of.accepted()) {
+            peer.probing = false;
             peer.matching = Math.max(peer.matching, of.version());
             peer.next = Math.max(peer.next, peer.matching + 1);
             commit(nowUs);
             if (phase == Phase.LEADING) {
                 replicate(nowUs, from, peer, false);
             }
-        } else if (of.version() + 1 < peer.next && of.version() >= peer.matching) {
-            peer.next = of.version() + 1;
-            replicate(nowUs, from, peer, false);
+        } else {
+            refused(nowUs, from, peer, of.version());
+        }
+    }
+
+    private void refused(long nowUs, String from, Peer peer, long version) {
+        if (!peer.voting) {
+            // It has lost its disk, and with it what it had confirmed.
+            peer.matching = Math.min(peer.matching, version);
+        }
+        if (version + 1 < peer.next && version >= peer.matching) {
+            peer.probing = true;
+            peer.next = version + 1;
+            // What is no longer kept waits for the next heartbeat: the answer would be the same.
+            replicate(nowUs, from, peer, peer.next > replica.log().baseVersion());
         }
     }
 
--- a/src/main/java/passhatch/distribution/Participant.java
+++ b/src/main/java/passhatch/distribution/Participant.java
@@ -128,10 +128,6 @@
     }
 
     private void hearFromReplica(long nowUs, String from, Message message) {
-        if (message instanceof Message.Behind && leader == null) {
-            catchUpFrom(nowUs, from);
-            return;
-        }
         if (message instanceof Message.Append of && follows(of)) {
             catchUp = null;
         }
@@ -139,6 +135,9 @@
         if (leader != null) {
             leader.hear(nowUs, from, message);
         }
+        if (message instanceof Message.Behind && (leader == null || leader.isOver())) {
+            catchUpFrom(nowUs, from);
+        }
     }
 
     private boolean follows(Message.Append append) {
