Have a replica that lags not claim to be current, and install over a stale log end

By reading: a disk that had failed was still written to.

The age is that of an append that brings all committed entries; a fetched state is committed by the log where that has the entry, and replaces it otherwise; nothing is written after a failed write.

--- a/src/main/java/passhatch/distribution/Replica.java
+++ b/src/main/java/passhatch/distribution/Replica.java
@@ -197,8 +197,6 @@
             actions.send(from, new Appended(epoch, promised, false, log.lastVersion(), founded));
             return;
         }
-        confirmedUs = nowUs;
-        toldAgeUs = append.ageUs();
         if (!follows(append.previousVersion(), append.previousTerm())) {
             long retryAfter =
                     Math.max(
@@ -212,6 +210,10 @@
         }
         long matching = append.previousVersion() + append.entries().size();
         commit(Math.min(append.committed(), matching));
+        if (state.version() >= append.committed()) {
+            confirmedUs = nowUs;
+            toldAgeUs = append.ageUs();
+        }
         actions.send(from, new Appended(epoch, append.term(), true, matching, founded));
     }
 
@@ -280,11 +282,18 @@
     }
 
     /**
-     * Takes the committed state of another replica, as this one lacks entries no longer kept. Not
-     * where its log reaches as far: what it has confirmed to a leader must not be dropped.
+     * Takes the committed state of another replica, as this one lacks entries no longer kept. Where
+     * its log has the entry at that version, all before are the same, and what follows them may
+     * have been confirmed to a leader: they stay. A log with another entry there cannot go on.
      */
     void install(ConfigState other) {
-        if (other.version() <= log.lastVersion()) {
+        if (other.version() <= state.version()) {
+            return;
+        }
+        boolean isInLog =
+                other.version() <= log.lastVersion() && log.termAt(other.version()) == other.term();
+        if (isInLog) {
+            commit(other.version());
             return;
         }
         List<DiskRecord> records = new ArrayList<>();
@@ -302,7 +311,9 @@
 
     /** After one failed write nothing more is trusted of the disk until a restart. */
     private boolean force(List<DiskRecord> records) {
-        diskFailed |= !actions.force(records);
+        if (!diskFailed) {
+            diskFailed = !actions.force(records);
+        }
         return !diskFailed;
     }
 }
