--- a/src/main/java/passhatch/distribution/ConfigState.java
+++ b/src/main/java/passhatch/distribution/ConfigState.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Collections;
+import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 
@@ -83,8 +84,16 @@
         term = newTerm;
     }
 
-    /** The newest entries after a version, oldest first. */
+    /**
+     * The newest entries after a version up to that at which the state stands, oldest first. A
+     * snapshot that was received while changes were made may have brought some entries beyond it.
+     */
     Collection<LogEntry> after(long from) {
+        return from >= version ? List.of() : byVersion.subMap(from, false, version, true).values();
+    }
+
+    /** Entries beyond a version, oldest first. */
+    Collection<LogEntry> beyond(long from) {
         return byVersion.tailMap(from, false).values();
     }
 
--- a/src/main/java/passhatch/distribution/Follower.java
+++ b/src/main/java/passhatch/distribution/Follower.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import passhatch.distribution.Message.Ack;
@@ -18,22 +20,8 @@
 
     private static final int MAX_TOMBSTONES = 4_096;
 
-    /** A whole state that is being received. */
-    private static final class Snapshot {
-        private final String source;
-        private final long epoch;
-        private final long version;
-        private final long versionTerm;
-        private final List<LogEntry> entries = new ArrayList<>();
-        private String cursor = "";
-
-        Snapshot(String source, SnapshotPart first) {
-            this.source = source;
-            this.epoch = first.epoch();
-            this.version = first.version();
-            this.versionTerm = first.versionTerm();
-        }
-    }
+    /** Twice what a source sends without being confirmed. */
+    private static final int MAX_EARLY_DELTAS = 32;
 
     private final String name;
     private final List<String> sources;
@@ -43,9 +31,14 @@
     private final DistributionActions actions;
     private final ConfigState state = new ConfigState(MAX_TOMBSTONES);
     private long epoch;
-    private Snapshot snapshot;
+
+    /** Deltas that do not follow yet, by what they follow on. */
+    private final TreeMap<Long, Delta> early = new TreeMap<>();
+
+    private IncomingSnapshot snapshot;
     private int current;
     private long pollAtUs;
+    private long polledUs;
 
     /** When the current source answered last, or was turned to. */
     private long answeredUs;
@@ -163,12 +156,13 @@
     }
 
     private void poll(long nowUs) {
+        polledUs = nowUs;
         pollAtUs = nowUs + Timing.POLL_US;
-        boolean ofThisSource = snapshot != null && snapshot.source.equals(source());
+        boolean ofThisSource = snapshot != null && snapshot.source().equals(source());
         if (!ofThisSource) {
             snapshot = null;
         }
-        String cursor = snapshot == null || snapshot.cursor.isEmpty() ? null : snapshot.cursor;
+        String cursor = snapshot == null || snapshot.cursor().isEmpty() ? null : snapshot.cursor();
         actions.send(source(), new Poll(epoch, state.version(), cursor, filter, name));
     }
 
@@ -196,19 +190,16 @@
         boolean behind =
                 delta.epoch() < epoch || delta.epoch() == epoch && delta.upto() < state.version();
         answered(nowUs, from, delta.ageUs(), behind);
-        if (delta.epoch() != epoch || delta.after() > state.version()) {
+        if (delta.epoch() != epoch) {
+            return;
+        }
+        if (delta.after() > state.version()) {
+            keepEarly(delta);
             return;
         }
         if (delta.upto() > state.version()) {
-            List<LogEntry> newer = new ArrayList<>();
-            for (LogEntry entry : delta.entries()) {
-                if (entry.version() > state.version() && wanted.test(entry.key())) {
-                    newer.add(entry);
-                }
-            }
-            force(List.of(new DiskRecord.Applied(epoch, delta.upto(), delta.uptoTerm(), newer)));
-            newer.forEach(state::put);
-            state.advance(delta.upto(), delta.uptoTerm());
+            apply(delta);
+            applyEarly();
             snapshot = null;
             actions.inForce(epoch, state.version());
         }
@@ -220,48 +211,82 @@
         }
     }
 
+    private void keepEarly(Delta delta) {
+        if (early.size() >= MAX_EARLY_DELTAS) {
+            early.clear();
+        }
+        early.put(delta.after(), delta);
+    }
+
+    /** Applies what has come before its turn, as far as it follows now. */
+    private void applyEarly() {
+        for (Map.Entry<Long, Delta> next = early.pollFirstEntry();
+                next != null;
+                next = early.pollFirstEntry()) {
+            Delta delta = next.getValue();
+            if (delta.after() > state.version()) {
+                early.put(next.getKey(), delta);
+                return;
+            }
+            if (delta.epoch() == epoch && delta.upto() > state.version()) {
+                apply(delta);
+            }
+        }
+    }
+
+    private void apply(Delta delta) {
+        List<LogEntry> newer = new ArrayList<>();
+        for (LogEntry entry : delta.entries()) {
+            if (entry.version() > state.version() && wanted.test(entry.key())) {
+                newer.add(entry);
+            }
+        }
+        force(List.of(new DiskRecord.Applied(epoch, delta.upto(), delta.uptoTerm(), newer)));
+        newer.forEach(state::put);
+        state.advance(delta.upto(), delta.uptoTerm());
+    }
+
     private void part(long nowUs, String from, SnapshotPart part) {
         boolean behind =
                 part.epoch() < epoch || part.epoch() == epoch && part.version() < state.version();
         answered(nowUs, from, part.ageUs(), behind);
-        if (behind) {
+        if (behind || part.epoch() == epoch && part.version() == state.version()) {
             return;
         }
-        if (part.afterKeyHash() == Message.keyHash("") && snapshot == null) {
-            snapshot = new Snapshot(from, part);
+        if (snapshot == null || part.epoch() > snapshot.epoch()) {
+            snapshot = new IncomingSnapshot(from, part);
         }
-        boolean follows =
-                snapshot != null
-                        && snapshot.source.equals(from)
-                        && snapshot.epoch == part.epoch()
-                        && part.afterKeyHash() == Message.keyHash(snapshot.cursor);
-        if (!follows) {
+        if (!snapshot.accepts(from, part)) {
             return;
         }
-        for (LogEntry entry : part.entries()) {
-            snapshot.cursor = entry.key();
-            if (wanted.test(entry.key())) {
-                snapshot.entries.add(entry);
-            }
-        }
-        if (part.last()) {
+        boolean burstIsOver = snapshot.take(part, wanted);
+        if (snapshot.isWhole()) {
             install(snapshot);
         }
-        if (!part.more()) {
+        boolean gap = !burstIsOver && !part.more() && from.equals(source());
+        if (burstIsOver || gap && nowUs - polledUs >= Timing.SNAPSHOT_RETRY_US) {
             poll(nowUs);
         }
     }
 
-    private void install(Snapshot whole) {
+    private void install(IncomingSnapshot whole) {
         snapshot = null;
+        if (whole.epoch() == epoch) {
+            // What an earlier snapshot brought beyond its version may be newer than this one.
+            whole.entries().addAll(state.beyond(whole.version()));
+        }
         List<DiskRecord> records = new ArrayList<>();
         records.add(
-                new DiskRecord.Reset(whole.epoch, whole.version, whole.versionTerm, whole.version));
-        whole.entries.forEach(entry -> records.add(new DiskRecord.Content(List.of(entry))));
+                new DiskRecord.Reset(
+                        whole.epoch(), whole.version(), whole.versionTerm(), whole.version()));
+        whole.entries().forEach(entry -> records.add(new DiskRecord.Content(List.of(entry))));
         force(records);
-        epoch = whole.epoch;
-        state.reset(whole.version, whole.versionTerm, whole.version);
-        whole.entries.forEach(state::put);
+        if (whole.epoch() != epoch) {
+            early.clear();
+        }
+        epoch = whole.epoch();
+        state.reset(whole.version(), whole.versionTerm(), whole.version());
+        whole.entries().forEach(state::put);
         actions.inForce(epoch, state.version());
     }
 
--- a/src/main/java/passhatch/distribution/Timing.java
+++ b/src/main/java/passhatch/distribution/Timing.java
@@ -12,6 +12,9 @@
     /** Between two polls of a follower. */
     static final long POLL_US = 500_000;
 
+    /** After a gap in a snapshot the rest is asked for again, so often at most. */
+    static final long SNAPSHOT_RETRY_US = 50_000;
+
     /** A source that has not answered for so long is left for the next one. */
     static final long SILENCE_US = 1_100_000;
 
