Simulate the distribution of changes by seed, with a checker that runs at every event

The state machines had never run. Network, disks, processes and leases with faults are simulated; the checker goes by forced records and what is in force: agreement, majority on disk, no falling back, subscribed keys only, 256 bytes, convergence in 15 s after the last change.

--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -1,6 +1,7 @@
 package passhatch.lab;
 
 import passhatch.cli.Commands;
+import passhatch.lab.distribution.DistributionCommand;
 import passhatch.lab.drill.DrillCommand;
 import passhatch.lab.duty.DutyCommand;
 import passhatch.lab.fleet.FleetCommand;
@@ -23,6 +24,7 @@
                         .addSubcommand(DrillCommand.line())
                         .addSubcommand(FleetCommand.line())
                         .addSubcommand(DutyCommand.line())
+                        .addSubcommand(new DistributionCommand())
                         .addSubcommand(new StoreBench()));
     }
 }
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/DistributionCommand.java
@@ -0,0 +1,69 @@
+package passhatch.lab.distribution;
+
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.LongStream;
+import passhatch.cli.Commands;
+import passhatch.lab.distribution.RandomRun.Outcome;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command {@code distribution}: plays changes with random faults, by seed. */
+@Command(
+        name = "distribution",
+        mixinStandardHelpOptions = true,
+        description =
+                "Plays the distribution of changes with random faults, by seed;"
+                        + " docs/distribution.md says what has to hold.")
+public final class DistributionCommand implements Callable<Integer> {
+
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--seeds",
+            defaultValue = "1000",
+            description = "How many; default: ${DEFAULT-VALUE}.")
+    private int seeds;
+
+    @Option(names = "--first-seed", defaultValue = "0", description = "Default: ${DEFAULT-VALUE}.")
+    private long firstSeed;
+
+    @Override
+    public Integer call() {
+        if (seeds < 1 || firstSeed < 0) {
+            throw new ParameterException(
+                    spec.commandLine(), "expected at least 1 seed, the first not negative");
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        List<Outcome> all =
+                LongStream.range(firstSeed, firstSeed + seeds)
+                        .parallel()
+                        .mapToObj(seed -> played(seed, out))
+                        .toList();
+        List<Outcome> broken = all.stream().filter(run -> run.broken() != null).toList();
+        out.println(
+                seeds
+                        + " seeds, "
+                        + broken.size()
+                        + " broken, "
+                        + all.stream().mapToLong(Outcome::submitted).sum()
+                        + " changes submitted, "
+                        + all.stream().mapToLong(Outcome::reported).sum()
+                        + " reported as made");
+        out.flush();
+        return broken.isEmpty() ? 0 : Commands.FAILED;
+    }
+
+    private static Outcome played(long seed, PrintWriter out) {
+        Outcome outcome = RandomRun.play(seed);
+        if (outcome.broken() != null) {
+            out.println("seed " + seed + ": " + outcome.broken());
+            out.flush();
+        }
+        return outcome;
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/Fleet.java
@@ -0,0 +1,168 @@
+package passhatch.lab.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import passhatch.distribution.ConfigKey;
+import passhatch.distribution.DiskRecord;
+import passhatch.distribution.DistributionSettings;
+import passhatch.distribution.DistributionSettings.Role;
+import passhatch.distribution.LogEntry;
+import passhatch.lab.Seeds;
+
+/** Builds the nodes of a fleet and what their disks have at the start. */
+public final class Fleet {
+
+    /** The epoch with which a simulation begins. */
+    public static final long EPOCH = 1;
+
+    /** The term of what is on disks at the start. */
+    public static final long FIRST_TERM = 1;
+
+    private static final List<String> SETTINGS =
+            List.of("deadline_ms", "max_attempts", "calls_per_second", "max_connections");
+
+    /**
+     * How a fleet is made up.
+     *
+     * @param replicas how many
+     * @param regions how many; replicas stand in different ones as far as there are enough
+     * @param zones how many over all regions; each has one relay
+     * @param subscribers how many over all zones
+     * @param services how many
+     * @param settingsPerService keys of each service, 1 to 4
+     * @param servicesPerSubscriber how many each subscriber subscribes to
+     */
+    public record Shape(
+            int replicas,
+            int regions,
+            int zones,
+            int subscribers,
+            int services,
+            int settingsPerService,
+            int servicesPerSubscriber) {}
+
+    private final Shape shape;
+    private final UniformRandomProvider random;
+    private final List<String> replicas;
+    private final List<LogEntry> entries = new ArrayList<>();
+
+    /** A fleet whose subscriptions are drawn by seed; each key has been set once. */
+    public Fleet(Shape shape, long seed) {
+        this.shape = shape;
+        random = new Seeds(seed).stream("subscriptions");
+        replicas = IntStream.range(0, shape.replicas()).mapToObj(i -> "replica-" + i).toList();
+        for (String key : keys()) {
+            entries.add(new LogEntry(entries.size() + 1, FIRST_TERM, key, "1"));
+        }
+    }
+
+    /** Its shape. */
+    public Shape shape() {
+        return shape;
+    }
+
+    /** All keys. */
+    public Set<String> keys() {
+        Set<String> keys = new TreeSet<>();
+        for (int service = 0; service < shape.services(); service++) {
+            for (String setting : SETTINGS.subList(0, shape.settingsPerService())) {
+                keys.add("service/" + serviceName(service) + "/" + setting);
+            }
+        }
+        keys.add("fleet/deadline_ms");
+        return keys;
+    }
+
+    /** What is committed at the start. */
+    public List<LogEntry> entries() {
+        return entries;
+    }
+
+    /** Adds all nodes; they do not run yet. */
+    public void addTo(Simulation simulation) {
+        for (int i = 0; i < shape.replicas(); i++) {
+            // Zones are dealt to the regions in turn, so the first ones are in different regions.
+            add(simulation, Role.REPLICA, replicas.get(i), i % shape.zones(), List.of(), Set.of());
+        }
+        for (int zone = 0; zone < shape.zones(); zone++) {
+            add(simulation, Role.RELAY, relay(zone), zone, replicasFrom(zone), Set.of());
+        }
+        for (int i = 0; i < shape.subscribers(); i++) {
+            int zone = i % shape.zones();
+            String replica = replicas.get(random.nextInt(replicas.size()));
+            List<String> sources = List.of(relay(zone), relay(neighbour(zone)), replica);
+            add(simulation, Role.SUBSCRIBER, "subscriber-" + i, zone, sources, services());
+        }
+    }
+
+    private void add(
+            Simulation simulation,
+            Role role,
+            String name,
+            int zone,
+            List<String> sources,
+            Collection<String> services) {
+        Location location = new Location(zone % shape.regions(), zone);
+        DistributionSettings settings =
+                new DistributionSettings(name, role, EPOCH, name, replicas, sources, services);
+        simulation.add(location, settings);
+    }
+
+    /** All replicas, one after the other, beginning with one of the region if there is one. */
+    private List<String> replicasFrom(int zone) {
+        List<String> ordered = new ArrayList<>();
+        for (int i = 0; i < replicas.size(); i++) {
+            ordered.add(replicas.get((zone % shape.regions() + i) % replicas.size()));
+        }
+        return ordered;
+    }
+
+    private static String relay(int zone) {
+        return "relay-" + zone;
+    }
+
+    /** Another zone of the same region, if there is one. */
+    private int neighbour(int zone) {
+        int next = zone + shape.regions();
+        return next < shape.zones() ? next : zone % shape.regions();
+    }
+
+    private Set<String> services() {
+        Set<String> services = new TreeSet<>();
+        while (services.size() < Math.min(shape.servicesPerSubscriber(), shape.services())) {
+            services.add(serviceName(random.nextInt(shape.services())));
+        }
+        return services;
+    }
+
+    private static String serviceName(int service) {
+        return "service-" + service;
+    }
+
+    /** What a disk has that holds all entries which a node wants. */
+    public List<DiskRecord> diskOf(Node node) {
+        List<DiskRecord> records = new ArrayList<>();
+        if (node.role() == Role.REPLICA) {
+            records.add(new DiskRecord.Founded(EPOCH));
+            records.add(new DiskRecord.Promised(EPOCH, FIRST_TERM));
+        }
+        records.add(new DiskRecord.Reset(EPOCH, entries.size(), FIRST_TERM, 0));
+        for (LogEntry entry : entries) {
+            if (node.role() != Role.SUBSCRIBER || wants(node, entry.key())) {
+                records.add(new DiskRecord.Content(List.of(entry)));
+            }
+        }
+        return records;
+    }
+
+    /** Whether a subscriber subscribes to a key. */
+    public static boolean wants(Node subscriber, String key) {
+        String service = ConfigKey.serviceOf(key);
+        return service == null || subscriber.settings().services().contains(service);
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/Network.java
@@ -0,0 +1,96 @@
+package passhatch.lab.distribution;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Decides of each datagram whether it arrives, how often and when. */
+public final class Network {
+
+    private static final long SAME_ZONE_US = 500;
+    private static final long SAME_REGION_US = 2_000;
+    private static final long NEAREST_REGION_US = 20_000;
+    private static final long FARTHEST_REGION_US = 150_000;
+    private static final double JITTER = 0.2;
+    private static final long LATE_BY_AT_MOST_US = 1_500_000;
+
+    /**
+     * What happens to datagrams by chance.
+     *
+     * @param loss share of datagrams that get lost
+     * @param duplication share that arrives twice
+     * @param delayed share that comes late, and so after later ones
+     */
+    public record Quality(double loss, double duplication, double delayed) {}
+
+    private final UniformRandomProvider random;
+    private final long[][] latencyUs;
+    private final Set<BiPredicate<Node, Node>> blocked = new HashSet<>();
+    private Quality quality;
+
+    /** A network with a latency between each two regions, drawn once. */
+    public Network(UniformRandomProvider random, int regions, Quality quality) {
+        this.random = random;
+        this.quality = quality;
+        latencyUs = new long[regions][regions];
+        for (int a = 0; a < regions; a++) {
+            latencyUs[a][a] = SAME_REGION_US;
+            for (int b = 0; b < a; b++) {
+                long drawn = random.nextLong(NEAREST_REGION_US, FARTHEST_REGION_US + 1);
+                latencyUs[a][b] = drawn;
+                latencyUs[b][a] = drawn;
+            }
+        }
+    }
+
+    /** Loss, duplication and delay from now on. */
+    public void setQuality(Quality quality) {
+        this.quality = quality;
+    }
+
+    /** Drops all datagrams from the first to the second that match, until {@link #unblock}. */
+    public void block(BiPredicate<Node, Node> fromTo) {
+        blocked.add(fromTo);
+    }
+
+    /** Ends a {@link #block}. */
+    public void unblock(BiPredicate<Node, Node> fromTo) {
+        blocked.remove(fromTo);
+    }
+
+    /** Ends all blocks. */
+    public void unblockAll() {
+        blocked.clear();
+    }
+
+    /** Whether no partition is between two nodes, in this direction. */
+    public boolean connects(Node from, Node to) {
+        for (BiPredicate<Node, Node> block : blocked) {
+            if (block.test(from, to)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean loses(Node from, Node to) {
+        return !connects(from, to) || random.nextDouble() < quality.loss();
+    }
+
+    boolean duplicates() {
+        return quality.duplication() > 0 && random.nextDouble() < quality.duplication();
+    }
+
+    long delayUs(Node from, Node to) {
+        long base =
+                from.location().zone() == to.location().zone()
+                        ? SAME_ZONE_US
+                        : latencyUs[from.location().region()][to.location().region()];
+        long delay = base + (long) (base * JITTER * random.nextDouble());
+        if (quality.delayed() > 0 && random.nextDouble() < quality.delayed()) {
+            delay += random.nextLong(1, LATE_BY_AT_MOST_US);
+        }
+        return delay;
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/Node.java
@@ -0,0 +1,258 @@
+package passhatch.lab.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import passhatch.distribution.DiskRecord;
+import passhatch.distribution.DistributionActions;
+import passhatch.distribution.DistributionSettings;
+import passhatch.distribution.DistributionSettings.Role;
+import passhatch.distribution.Message;
+import passhatch.distribution.Participant;
+
+/** One simulated process with its disk. */
+public final class Node implements DistributionActions {
+
+    /** What the disk does with records that are to be forced. */
+    public enum DiskMode {
+        /** They are there. */
+        WORKING,
+        /** They are not there, and the process learns it. */
+        FAILING,
+        /** They are not there, and the process is told that they are. */
+        LYING,
+        /** The process is killed before they are there. */
+        CRASH_BEFORE,
+        /** The process is killed once they are there. */
+        CRASH_AFTER
+    }
+
+    private final Simulation simulation;
+    private final Location location;
+    private final RandomGenerator random;
+    private DistributionSettings settings;
+    private List<DiskRecord> disk = new ArrayList<>();
+    private DiskMode diskMode = DiskMode.WORKING;
+    private Participant participant;
+    private long pausedUntilUs;
+    private long timerAtUs = Long.MAX_VALUE;
+    private long busyNanos;
+    private int life;
+
+    Node(
+            Simulation simulation,
+            Location location,
+            DistributionSettings settings,
+            RandomGenerator random) {
+        this.simulation = simulation;
+        this.location = location;
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Its address, which is unique. */
+    public String address() {
+        return settings.self();
+    }
+
+    /** Its settings. */
+    public DistributionSettings settings() {
+        return settings;
+    }
+
+    /** Settings with which it starts the next time. */
+    public void setSettings(DistributionSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Its role. */
+    public Role role() {
+        return settings.role();
+    }
+
+    /** Where it stands. */
+    public Location location() {
+        return location;
+    }
+
+    /** What is on its disk. */
+    public List<DiskRecord> disk() {
+        return disk;
+    }
+
+    /** Replaces what is on its disk. */
+    public void setDisk(List<DiskRecord> records) {
+        disk = new ArrayList<>(records);
+    }
+
+    /** What its disk does from now on. */
+    public void setDiskMode(DiskMode mode) {
+        diskMode = mode;
+    }
+
+    /** Its state machine; null while the process does not run. */
+    public Participant participant() {
+        return participant;
+    }
+
+    /** Whether the process runs; it may be paused. */
+    public boolean isUp() {
+        return participant != null;
+    }
+
+    boolean isPaused() {
+        return simulation.nowUs() < pausedUntilUs;
+    }
+
+    /** Time that the state machine has taken of a processor. */
+    public long busyNanos() {
+        return busyNanos;
+    }
+
+    /** Starts the process from what is on its disk. */
+    public void start() {
+        if (participant != null) {
+            throw new IllegalStateException(address() + " runs already");
+        }
+        pausedUntilUs = 0;
+        life++;
+        timerAtUs = Long.MAX_VALUE;
+        try {
+            participant =
+                    new Participant(settings, List.copyOf(disk), simulation.nowUs(), random, this);
+        } catch (SimulatedCrash crash) {
+            kill();
+            return;
+        }
+        simulation.observer().started(this);
+        scheduleTimer();
+    }
+
+    /** Ends the process; the disk stays. */
+    public void kill() {
+        participant = null;
+        life++;
+        if (diskMode == DiskMode.CRASH_AFTER || diskMode == DiskMode.CRASH_BEFORE) {
+            diskMode = DiskMode.WORKING;
+        }
+    }
+
+    /** Stops the process for a while; datagrams wait for it, timers are late. */
+    public void pause(long us) {
+        pausedUntilUs = simulation.nowUs() + us;
+    }
+
+    /** Replaces the records on disk by those of the snapshot. */
+    public void compact() {
+        if (participant != null && diskMode == DiskMode.WORKING && !participant.diskFailed()) {
+            disk = new ArrayList<>(participant.snapshot());
+        }
+    }
+
+    /** Calls the state machine, if the process runs. */
+    public void run(Consumer<Participant> call) {
+        if (participant == null) {
+            return;
+        }
+        long before = System.nanoTime();
+        try {
+            call.accept(participant);
+        } catch (SimulatedCrash crash) {
+            kill();
+            return;
+        } finally {
+            busyNanos += System.nanoTime() - before;
+        }
+        scheduleTimer();
+    }
+
+    void arrive(String from, Message message) {
+        if (participant == null) {
+            return;
+        }
+        if (isPaused()) {
+            simulation.at(pausedUntilUs, () -> arrive(from, message));
+            return;
+        }
+        run(p -> p.hear(simulation.nowUs(), from, message));
+    }
+
+    private void scheduleTimer() {
+        long wakeAtUs = participant == null ? Long.MAX_VALUE : participant.wakeAtUs();
+        if (wakeAtUs < timerAtUs) {
+            int ofLife = life;
+            timerAtUs = Math.max(wakeAtUs, simulation.nowUs());
+            long at = timerAtUs;
+            simulation.at(at, () -> timer(ofLife, at));
+        }
+    }
+
+    private void timer(int ofLife, long at) {
+        if (life != ofLife || at != timerAtUs) {
+            return;
+        }
+        timerAtUs = Long.MAX_VALUE;
+        if (isPaused()) {
+            timerAtUs = pausedUntilUs;
+            simulation.at(pausedUntilUs, () -> timer(ofLife, timerAtUs));
+            return;
+        }
+        if (participant.wakeAtUs() > simulation.nowUs()) {
+            scheduleTimer();
+            return;
+        }
+        run(p -> p.timer(simulation.nowUs()));
+    }
+
+    @Override
+    public void send(String peer, Message message) {
+        simulation.send(this, peer, message);
+    }
+
+    @Override
+    public boolean force(List<DiskRecord> records) {
+        switch (diskMode) {
+            case WORKING -> persist(records);
+            case FAILING -> {
+                return false;
+            }
+            case CRASH_BEFORE -> throw new SimulatedCrash();
+            case CRASH_AFTER -> {
+                persist(records);
+                throw new SimulatedCrash();
+            }
+            case LYING -> {
+                return true;
+            }
+        }
+        return true;
+    }
+
+    private void persist(List<DiskRecord> records) {
+        if (simulation.keepsDisks()) {
+            disk.addAll(records);
+        }
+        simulation.observer().forced(this, records);
+    }
+
+    @Override
+    public void inForce(long epoch, long version) {
+        simulation.observer().inForce(this, epoch, version);
+    }
+
+    @Override
+    public void committed(long version) {
+        simulation.observer().committed(this, version);
+    }
+
+    @Override
+    public void stepDown(long term, String reason) {
+        simulation.steppedDown(this, term);
+    }
+
+    @Override
+    public String toString() {
+        return address();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/ReplicaDiskView.java
@@ -0,0 +1,46 @@
+package passhatch.lab.distribution;
+
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import passhatch.distribution.DiskRecord;
+import passhatch.distribution.LogEntry;
+
+/** The log on a replica's disk, from the records that were forced, without the product's code. */
+final class ReplicaDiskView {
+
+    private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
+    private long baseVersion;
+
+    /** Takes a record in; the entries that it removes from the log. */
+    NavigableMap<Long, LogEntry> take(DiskRecord record) {
+        NavigableMap<Long, LogEntry> removed = new TreeMap<>();
+        if (record instanceof DiskRecord.Appended of) {
+            removed.putAll(entries.tailMap(of.entry().version(), true));
+            entries.keySet().removeAll(removed.keySet());
+            entries.put(of.entry().version(), of.entry());
+            removed.remove(of.entry().version(), of.entry());
+        } else if (record instanceof DiskRecord.Reset of) {
+            removed.putAll(entries.tailMap(of.version(), false));
+            entries.clear();
+            baseVersion = of.version();
+        }
+        return removed;
+    }
+
+    /** Whether an entry at a version is part of the state at which the log begins. */
+    boolean isInBase(long version) {
+        return version <= baseVersion;
+    }
+
+    LogEntry get(long version) {
+        return entries.get(version);
+    }
+
+    boolean has(LogEntry entry) {
+        return isInBase(entry.version()) || entry.equals(entries.get(entry.version()));
+    }
+
+    long lastVersion() {
+        return entries.isEmpty() ? baseVersion : entries.lastKey();
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/distribution/Simulation.java
@@ -0,0 +1,188 @@
+package passhatch.lab.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import passhatch.distribution.DistributionSettings;
+import passhatch.distribution.DistributionSettings.Role;
+import passhatch.distribution.Message;
+import passhatch.distribution.MessageCodec;
+import passhatch.fleet.Frame;
+import passhatch.lab.Seeds;
+import passhatch.lab.sim.EventQueue;
+
+/**
+ * Processes of the distribution in simulated time. All that is drawn depends on the seed only, so a
+ * run can be repeated.
+ */
+public final class Simulation {
+
+    private static final String FLEET = "simulated";
+
+    /** Changes messages on their way, to play a faulty program; null drops one. */
+    public interface Tamper {
+        /** The message that is sent in place of this one. */
+        Message onSend(Node from, Node to, Message message);
+    }
+
+    /** How much is done for each datagram and record. */
+    public enum Fidelity {
+        /** Each datagram is encoded and decoded; disks are kept. */
+        FULL,
+        /** Each datagram is encoded, one in some decoded; records are counted, not kept. */
+        SAMPLED
+    }
+
+    private static final int DECODE_ONE_IN = 64;
+
+    private final EventQueue<Runnable> queue = new EventQueue<>(0);
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Network network;
+    private final SplittableRandom random;
+    private final Fidelity fidelity;
+    private final Observer observer;
+    private Tamper tamper = (from, to, message) -> message;
+    private BiConsumer<Node, Long> onStepDown = (node, term) -> {};
+    private long datagrams;
+    private long mostDatagrams = Long.MAX_VALUE;
+
+    /** An empty simulation. */
+    public Simulation(long seed, Network network, Fidelity fidelity, Observer observer) {
+        this.network = network;
+        this.fidelity = fidelity;
+        this.observer = observer;
+        random = new SplittableRandom(new Seeds(seed).stream("nodes").nextLong());
+    }
+
+    /** Adds a node that does not run yet. */
+    public Node add(Location location, DistributionSettings settings) {
+        Node node = new Node(this, location, settings, random.split());
+        nodes.put(node.address(), node);
+        return node;
+    }
+
+    /** All nodes in the order in which they were added. */
+    public Collection<Node> nodes() {
+        return nodes.values();
+    }
+
+    /** The node of an address. */
+    public Node node(String address) {
+        return nodes.get(address);
+    }
+
+    /** The nodes of a role. */
+    public List<Node> nodes(Role role) {
+        List<Node> of = new ArrayList<>();
+        nodes.values().stream().filter(node -> node.role() == role).forEach(of::add);
+        return of;
+    }
+
+    /** The network between the nodes. */
+    public Network network() {
+        return network;
+    }
+
+    Observer observer() {
+        return observer;
+    }
+
+    boolean keepsDisks() {
+        return fidelity == Fidelity.FULL;
+    }
+
+    /** Changes messages from now on. */
+    public void setTamper(Tamper tamper) {
+        this.tamper = tamper;
+    }
+
+    /** Is told when a leader gives up its term. */
+    public void setOnStepDown(BiConsumer<Node, Long> action) {
+        onStepDown = action;
+    }
+
+    void steppedDown(Node node, long term) {
+        queue.scheduleAfter(0, () -> onStepDown.accept(node, term));
+    }
+
+    /** Simulated time in microseconds. */
+    public long nowUs() {
+        return queue.nowUs();
+    }
+
+    /** Has something done at a time. */
+    public void at(long us, Runnable action) {
+        queue.scheduleAt(us, action);
+    }
+
+    /** Has something done after a while. */
+    public void after(long us, Runnable action) {
+        queue.scheduleAfter(us, action);
+    }
+
+    /** Lets time pass. */
+    public void runUntil(long us) {
+        for (Runnable next = queue.pollUntil(us); next != null; next = queue.pollUntil(us)) {
+            next.run();
+        }
+        queue.advanceTo(us);
+    }
+
+    void send(Node from, String peer, Message original) {
+        Node to = nodes.get(peer);
+        if (to == null) {
+            throw new IllegalStateException(from + " sends to " + peer + ", which does not exist");
+        }
+        Message message = tamper.onSend(from, to, original);
+        if (message == null) {
+            return;
+        }
+        byte[] bytes = MessageCodec.encode(FLEET, message);
+        if (bytes.length > Frame.MOST_BYTES) {
+            throw new BrokenPromise(bytes.length + " bytes in one datagram: " + message);
+        }
+        observer.sent(from, bytes.length);
+        Message arriving = decoded(message, bytes);
+        if (network.loses(from, to)) {
+            return;
+        }
+        deliver(from, to, arriving, bytes.length);
+        if (network.duplicates()) {
+            deliver(from, to, arriving, bytes.length);
+        }
+    }
+
+    /** Takes more datagrams than these in the whole run for a storm, which is a fault. */
+    public void setMostDatagrams(long most) {
+        mostDatagrams = most;
+    }
+
+    private Message decoded(Message message, byte[] bytes) {
+        datagrams++;
+        if (datagrams > mostDatagrams) {
+            throw new BrokenPromise(
+                    "more than " + mostDatagrams + " datagrams, the last " + message);
+        }
+        if (fidelity == Fidelity.SAMPLED && datagrams % DECODE_ONE_IN != 0) {
+            return message;
+        }
+        MessageCodec.Read read = MessageCodec.decode(FLEET, bytes);
+        if (read.message() == null) {
+            throw new BrokenPromise("cannot be decoded, " + read.fault() + ": " + message);
+        }
+        return read.message();
+    }
+
+    private void deliver(Node from, Node to, Message message, int bytes) {
+        after(
+                network.delayUs(from, to),
+                () -> {
+                    observer.received(to, bytes);
+                    to.arrive(from.address(), message);
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/sim/package-info.java
@@ -0,0 +1,2 @@
+/** What discrete-event simulations have in common. */
+package passhatch.lab.sim;
--- a/src/test/java/passhatch/ArchitectureTest.java
+++ b/src/test/java/passhatch/ArchitectureTest.java
@@ -96,8 +96,7 @@
                 .whereLayer("duty")
                 .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release")
                 .whereLayer("fleet")
-                .mayOnlyBeAccessedByLayers(
-                        "cli", "lab", "agent", "release", "distribution", "duty")
+                .mayOnlyBeAccessedByLayers("cli", "lab", "agent", "release", "distribution", "duty")
                 .whereLayer("store")
                 .mayOnlyBeAccessedByLayers(
                         "cli", "lab", "agent", "release", "duty", "fleet", "proxy")
