--- a/src/main/java/passhatch/distribution/Follower.java
+++ b/src/main/java/passhatch/distribution/Follower.java
@@ -50,6 +50,13 @@
     private long currentAsOfUs = Long.MIN_VALUE / 2;
 
     private boolean sourceBehind;
+
+    /** Sources left one after the other as each was stale. */
+    private int staleMoves;
+
+    /** Until then a stale source is as good as any. */
+    private long staleRetryAtUs;
+
     private long returnAtUs = Long.MAX_VALUE;
     private boolean diskFailed;
 
@@ -137,7 +144,15 @@
     private void chooseSource(long nowUs) {
         boolean silent = nowUs - answeredUs > Timing.SILENCE_US;
         boolean stale = sourceAgeUs > Timing.STALE_US || sourceBehind;
-        if (sources.size() > 1 && (silent || stale)) {
+        if (stale && nowUs >= staleRetryAtUs && ++staleMoves >= sources.size()) {
+            // None is better, as when there is no leader: no use in going round for the time being.
+            staleMoves = 0;
+            staleRetryAtUs = nowUs + aboutReturnTime();
+            moveTo(nowUs, 0);
+            return;
+        }
+        boolean leaves = silent || stale && nowUs >= staleRetryAtUs;
+        if (sources.size() > 1 && leaves) {
             moveTo(nowUs, (current + 1) % sources.size());
         } else if (nowUs >= returnAtUs) {
             moveTo(nowUs, 0);
@@ -149,10 +164,11 @@
         answeredUs = nowUs;
         sourceAgeUs = 0;
         sourceBehind = false;
-        returnAtUs =
-                source == 0
-                        ? Long.MAX_VALUE
-                        : nowUs + (long) ((0.5 + random.nextDouble()) * Timing.RETURN_US);
+        returnAtUs = source == 0 ? Long.MAX_VALUE : nowUs + aboutReturnTime();
+    }
+
+    private long aboutReturnTime() {
+        return (long) ((0.5 + random.nextDouble()) * Timing.RETURN_US);
     }
 
     private void poll(long nowUs) {
@@ -179,6 +195,10 @@
             answeredUs = nowUs;
             sourceAgeUs = ageUs;
             sourceBehind = behind;
+            if (!behind && ageUs <= Timing.STALE_US) {
+                staleMoves = 0;
+                staleRetryAtUs = 0;
+            }
         }
     }
 
--- a/src/main/java/passhatch/distribution/Timing.java
+++ b/src/main/java/passhatch/distribution/Timing.java
@@ -15,11 +15,16 @@
     /** After a gap in a snapshot the rest is asked for again, so often at most. */
     static final long SNAPSHOT_RETRY_US = 50_000;
 
-    /** A source that has not answered for so long is left for the next one. */
-    static final long SILENCE_US = 1_100_000;
-
-    /** A source that has not known its state to be current for so long is left for the next one. */
-    static final long STALE_US = 1_500_000;
+    /**
+     * A source that has not answered for so long is left: three polls, so that loss seldom does it.
+     */
+    static final long SILENCE_US = 1_600_000;
+
+    /**
+     * A source that has not known its state to be current for so long is left for the next one.
+     * Above what heartbeat, poll and the way between regions add up to at a relay, with some loss.
+     */
+    static final long STALE_US = 3_000_000;
 
     /** From leaving the preferred source to trying it again, half of it more or less by chance. */
     static final long RETURN_US = 30_000_000;
