--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -5,6 +5,7 @@
 import passhatch.lab.drill.DrillCommand;
 import passhatch.lab.duty.DutyCommand;
 import passhatch.lab.fleet.FleetCommand;
+import passhatch.lab.scale.ScaleCommand;
 import picocli.CommandLine;
 
 /** Where the tools start: the program's own commands, and those that only the lab has. */
@@ -25,6 +26,7 @@
                         .addSubcommand(FleetCommand.line())
                         .addSubcommand(DutyCommand.line())
                         .addSubcommand(new DistributionCommand())
+                        .addSubcommand(ScaleCommand.line())
                         .addSubcommand(new StoreBench()));
     }
 }
--- /dev/null
+++ b/src/main/java/passhatch/lab/scale/DistributionScaleCommand.java
@@ -0,0 +1,132 @@
+package passhatch.lab.scale;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command {@code scale distribution}: changes in fleets of several sizes. */
+@Command(
+        name = "distribution",
+        mixinStandardHelpOptions = true,
+        description = "Simulates the distribution of changes in fleets of several sizes.")
+final class DistributionScaleCommand implements Callable<Integer> {
+
+    private static final int MOST_SUBSCRIBERS = 40_000;
+    private static final int MOST_CHANGES = 10_000;
+    private static final Path DIRECTORY = Path.of("target", "scale", "distribution");
+
+    /** What is written: figures by size, and lines fitted over the sizes. */
+    record Result(
+            long seed, Map<Integer, Map<String, Double>> sizes, Map<String, LinearFit> fits) {}
+
+    @Spec private CommandSpec spec;
+
+    @Option(
+            names = "--subscribers",
+            split = ",",
+            defaultValue = "1000,4000,8000,19000",
+            description = "Default: ${DEFAULT-VALUE}.")
+    private List<Integer> subscribers;
+
+    @Option(names = "--zones", defaultValue = "25", description = "Default: ${DEFAULT-VALUE}.")
+    private int zones;
+
+    @Option(names = "--regions", defaultValue = "7", description = "Default: ${DEFAULT-VALUE}.")
+    private int regions;
+
+    @Option(
+            names = "--changes",
+            defaultValue = "200",
+            description = "For each event, 1,000 a minute; default: ${DEFAULT-VALUE}.")
+    private int changes;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
+    private long seed;
+
+    @Override
+    public Integer call() throws IOException {
+        check();
+        Map<Integer, Map<String, Double>> sizes = new TreeMap<>();
+        for (int size : subscribers) {
+            spec.commandLine().getErr().println("simulating " + size + " subscribers");
+            spec.commandLine().getErr().flush();
+            sizes.put(size, new DistributionScaleRun(size, zones, regions, changes, seed).play());
+        }
+        Files.createDirectories(DIRECTORY);
+        Path file = DIRECTORY.resolve("result.json");
+        Result result = new Result(seed, sizes, fits(sizes));
+        JSON json = JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT);
+        Files.writeString(file, json.asString(asMap(result)));
+        sizes.forEach((size, figures) -> print(size, figures));
+        spec.commandLine().getOut().println("written: " + file);
+        spec.commandLine().getOut().flush();
+        return 0;
+    }
+
+    private void check() {
+        for (int size : subscribers) {
+            require(size >= 1 && size <= MOST_SUBSCRIBERS, "subscribers", MOST_SUBSCRIBERS);
+        }
+        require(regions >= 1 && regions <= zones, "regions, at most as many as zones", zones);
+        require(changes >= 2 && changes <= MOST_CHANGES, "changes, at least 2", MOST_CHANGES);
+        require(seed >= 0, "seed, not negative", Long.MAX_VALUE);
+    }
+
+    private void require(boolean holds, String what, long most) {
+        if (!holds) {
+            throw new ParameterException(
+                    spec.commandLine(), "expected 1 to " + most + " for " + what);
+        }
+    }
+
+    private static Map<String, LinearFit> fits(Map<Integer, Map<String, Double>> sizes) {
+        Map<String, LinearFit> fits = new TreeMap<>();
+        if (sizes.size() < 2) {
+            return fits;
+        }
+        double[] x = sizes.keySet().stream().mapToDouble(Integer::doubleValue).toArray();
+        for (String name : sizes.values().iterator().next().keySet()) {
+            double[] y =
+                    sizes.values().stream().mapToDouble(of -> of.getOrDefault(name, 0.0)).toArray();
+            fits.put(name, LinearFit.of(x, y));
+        }
+        return fits;
+    }
+
+    private static Map<String, Object> asMap(Result result) {
+        Map<String, Object> fits = new TreeMap<>();
+        result.fits()
+                .forEach(
+                        (name, fit) -> {
+                            Map<String, Object> of = new LinkedHashMap<>();
+                            of.put("intercept", fit.intercept());
+                            of.put("slope", fit.slope());
+                            of.put("residual", fit.residual());
+                            of.put("measured", new ArrayList<>(List.of(fit.from(), fit.to())));
+                            fits.put(name, of);
+                        });
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("seed", result.seed());
+        map.put("sizes", result.sizes());
+        map.put("fits", fits);
+        return map;
+    }
+
+    private void print(int size, Map<String, Double> figures) {
+        figures.forEach(
+                (name, value) ->
+                        spec.commandLine().getOut().printf("%6d %-44s %.4f%n", size, name, value));
+    }
+}
--- a/src/main/java/passhatch/lab/scale/ScaleCommand.java
+++ b/src/main/java/passhatch/lab/scale/ScaleCommand.java
@@ -15,6 +15,6 @@
 
     /** The command with its own commands. */
     public static CommandLine line() {
-        return new CommandLine(new ScaleCommand());
+        return new CommandLine(new ScaleCommand()).addSubcommand(new DistributionScaleCommand());
     }
 }
--- /dev/null
+++ b/src/test/java/passhatch/lab/distribution/ScaleInputTest.java
@@ -0,0 +1,26 @@
+package passhatch.lab.distribution;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.cli.Commands;
+import passhatch.lab.scale.ScaleCommand;
+import picocli.CommandLine;
+
+/** Wrong sizes and seeds get one clear line and exit status 2. */
+final class ScaleInputTest {
+
+    @ParameterizedTest
+    @ValueSource(strings = {"--subscribers=0", "--regions=26", "--changes=1", "--seed=-1"})
+    void refusesInOneLine(String option) {
+        StringWriter err = new StringWriter();
+        CommandLine line = Commands.oneLineErrors(ScaleCommand.line());
+        line.setErr(new PrintWriter(err));
+        assertEquals(Commands.USAGE, line.execute("distribution", option));
+        assertTrue(err.toString().strip().lines().count() == 1, err.toString());
+    }
+}
