--- a/src/main/java/passhatch/lab/scale/ScaleCommand.java
+++ b/src/main/java/passhatch/lab/scale/ScaleCommand.java
@@ -19,6 +19,7 @@
                 .addSubcommand(new LatencyCommand())
                 .addSubcommand(new ProxyCommand())
                 .addSubcommand(new AgentCommand())
-                .addSubcommand(new MembershipScaleCommand());
+                .addSubcommand(new MembershipScaleCommand())
+                .addSubcommand(new DistributionScaleCommand());
     }
 }
