Have an agent that was started with SIGHUP ignored say so

Need: an agent started as by nohup takes no new configuration, and said nothing; the proxy says it since SIGHUP's handler tells. Change: one warning at the start. Result: it compiles; the handler's answer is tested with the proxy (SignalTest).

--- a/src/main/java/passhatch/agent/Agent.java
+++ b/src/main/java/passhatch/agent/Agent.java
@@ -73,7 +73,11 @@
         AgentLog.toStandardError();
         Agent agent = new Agent(file, env);
         agent.start(version);
-        HangUp.handle(() -> agent.loop.execute(agent::reload));
+        if (!HangUp.handle(() -> agent.loop.execute(agent::reload))) {
+            LOG.atWarn()
+                    .addKeyValue("event", "configuration")
+                    .log("SIGHUP is ignored since the start: no new configuration is taken");
+        }
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
