--- a/src/main/java/passhatch/lab/distribution/LeaseStandIn.java
+++ b/src/main/java/passhatch/lab/distribution/LeaseStandIn.java
@@ -12,13 +12,14 @@
 
     private static final long TICK_US = 200_000;
 
-    /** As long as a lease of the agent lasts. */
-    private static final long LEASE_US = 4_000_000;
+    /** How long a lease lasts unless {@link #setLeaseUs} says otherwise. */
+    public static final long DEFAULT_LEASE_US = 4_000_000;
 
     private final Simulation simulation;
     private final List<Node> replicas;
     private final UniformRandomProvider random;
     private Node holder;
+    private long leaseUs = DEFAULT_LEASE_US;
     private long term;
     private long idleSinceUs = Long.MAX_VALUE;
 
@@ -37,6 +38,11 @@
         tick();
     }
 
+    /** Leases last this long from now on. */
+    public void setLeaseUs(long us) {
+        leaseUs = us;
+    }
+
     /** Who holds the lease; null for nobody. */
     public Node holder() {
         return holder;
@@ -64,7 +70,7 @@
             idleSinceUs = Long.MAX_VALUE;
         } else if (idleSinceUs == Long.MAX_VALUE) {
             idleSinceUs = simulation.nowUs();
-        } else if (simulation.nowUs() - idleSinceUs > LEASE_US) {
+        } else if (simulation.nowUs() - idleSinceUs > leaseUs) {
             takeAway();
         }
     }
@@ -74,7 +80,7 @@
         return holder.isUp()
                 && !holder.isPaused()
                 && holder.participant().isLeading()
-                && holder.participant().ageUs(nowUs) < LEASE_US;
+                && holder.participant().ageUs(nowUs) < leaseUs;
     }
 
     private void takeAway() {
--- a/src/main/java/passhatch/lab/scale/DistributionMeter.java
+++ b/src/main/java/passhatch/lab/scale/DistributionMeter.java
@@ -28,9 +28,12 @@
         }
     }
 
+    private record Expected(String key, long sinceUs) {}
+
     private final Map<Node, Traffic> traffic = new HashMap<>();
-    private final Map<Node, TreeMap<Long, Long>> pending = new HashMap<>();
+    private final Map<Node, TreeMap<Long, Expected>> pending = new HashMap<>();
     private final List<Long> delaysUs = new ArrayList<>();
+    private long lost;
     private Clock clock = () -> 0;
 
     /** Simulated time, as {@link Simulation#nowUs}. */
@@ -42,21 +45,29 @@
         this.clock = clock;
     }
 
-    /** A change is committed that these subscribers want. */
-    void expect(long version, List<Node> subscribers) {
-        long nowUs = clock.nowUs();
+    /** A change of a key has got a version; these subscribers want it since a time. */
+    void expect(String key, long version, long sinceUs, List<Node> subscribers) {
         for (Node node : subscribers) {
             if (node.isUp() && node.participant().version() < version) {
-                pending.computeIfAbsent(node, any -> new TreeMap<>()).put(version, nowUs);
+                Expected replaced =
+                        pending.computeIfAbsent(node, any -> new TreeMap<>())
+                                .put(version, new Expected(key, sinceUs));
+                lost += replaced == null ? 0 : 1;
             }
         }
     }
 
     @Override
     public void inForce(Node node, long epoch, long version) {
-        TreeMap<Long, Long> waiting = node.role() == Role.SUBSCRIBER ? pending.get(node) : null;
+        TreeMap<Long, Expected> waiting = node.role() == Role.SUBSCRIBER ? pending.get(node) : null;
         while (waiting != null && !waiting.isEmpty() && waiting.firstKey() <= version) {
-            delaysUs.add(clock.nowUs() - waiting.pollFirstEntry().getValue());
+            Map.Entry<Long, Expected> next = waiting.pollFirstEntry();
+            Expected expected = next.getValue();
+            if (node.participant().versionOf(expected.key()) >= next.getKey()) {
+                delaysUs.add(clock.nowUs() - expected.sinceUs());
+            } else {
+                lost++;
+            }
         }
     }
 
@@ -85,6 +96,7 @@
         traffic.clear();
         pending.clear();
         delaysUs.clear();
+        lost = 0;
     }
 
     /** Changes that are not in force yet, summed over the subscribers that want them. */
@@ -92,6 +104,11 @@
         return pending.values().stream().mapToLong(Map::size).sum();
     }
 
+    /** As {@link #missing}, of changes in place of which another one was committed. */
+    long lost() {
+        return lost;
+    }
+
     long samples() {
         return delaysUs.size();
     }
--- a/src/main/java/passhatch/lab/scale/DistributionScaleCommand.java
+++ b/src/main/java/passhatch/lab/scale/DistributionScaleCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,13 @@
             description = "For each event, 1,000 a minute; default: ${DEFAULT-VALUE}.")
     private int changes;
 
+    @Option(
+            names = "--events",
+            split = ",",
+            converter = DistributionEvent.Converter.class,
+            description = "Measures these only; default: all.")
+    private List<DistributionEvent> events = List.of(DistributionEvent.values());
+
     @Option(names = "--seed", defaultValue = "1", description = "Default: ${DEFAULT-VALUE}.")
     private long seed;
 
@@ -62,13 +70,16 @@
         for (int size : subscribers) {
             spec.commandLine().getErr().println("simulating " + size + " subscribers");
             spec.commandLine().getErr().flush();
-            sizes.put(size, new DistributionScaleRun(size, zones, regions, changes, seed).play());
+            DistributionScaleRun run =
+                    new DistributionScaleRun(size, zones, regions, changes, seed);
+            sizes.put(size, run.play(EnumSet.copyOf(events)));
         }
         Files.createDirectories(DIRECTORY);
         Path file = DIRECTORY.resolve("result.json");
         Result result = new Result(seed, sizes, fits(sizes));
         JSON json = JSON.std.with(JSON.Feature.PRETTY_PRINT_OUTPUT);
         Files.writeString(file, json.asString(asMap(result)));
+        DistributionScalePlot.write(DIRECTORY.resolve("relay.png"), sizes);
         sizes.forEach((size, figures) -> print(size, figures));
         spec.commandLine().getOut().println("written: " + file);
         spec.commandLine().getOut().flush();
--- a/src/test/java/passhatch/lab/distribution/ScaleInputTest.java
+++ b/src/test/java/passhatch/lab/distribution/ScaleInputTest.java
@@ -11,11 +11,18 @@
 import passhatch.lab.scale.ScaleCommand;
 import picocli.CommandLine;
 
-/** Wrong sizes and seeds get one clear line and exit status 2. */
+/** Wrong sizes, seeds and names of events get one clear line and exit status 2. */
 final class ScaleInputTest {
 
     @ParameterizedTest
-    @ValueSource(strings = {"--subscribers=0", "--regions=26", "--changes=1", "--seed=-1"})
+    @ValueSource(
+            strings = {
+                "--subscribers=0",
+                "--regions=26",
+                "--changes=1",
+                "--seed=-1",
+                "--events=changes,nothing"
+            })
     void refusesInOneLine(String option) {
         StringWriter err = new StringWriter();
         CommandLine line = Commands.oneLineErrors(ScaleCommand.line());
