Count a change as in force only once a subscriber's key has it

Need: a source sends the newest entry of each key, in several datagrams. A subscriber can so be at a version whose change of a key is superseded by a newer one that is still on its way.

Change: the change stays expected until its key has it or a newer one; one in place of which another was committed counts as not in force.

--- a/src/main/java/passhatch/lab/scale/DistributionMeter.java
+++ b/src/main/java/passhatch/lab/scale/DistributionMeter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -33,7 +34,10 @@
     private final Map<Node, Traffic> traffic = new HashMap<>();
     private final Map<Node, TreeMap<Long, Expected>> pending = new HashMap<>();
     private final List<Long> delaysUs = new ArrayList<>();
-    private long lost;
+
+    /** Waited for when another leader gave their version to another change. */
+    private long replaced;
+
     private Clock clock = () -> 0;
 
     /** Simulated time, as {@link Simulation#nowUs}. */
@@ -49,24 +53,29 @@
     void expect(String key, long version, long sinceUs, List<Node> subscribers) {
         for (Node node : subscribers) {
             if (node.isUp() && node.participant().version() < version) {
-                Expected replaced =
+                Expected before =
                         pending.computeIfAbsent(node, any -> new TreeMap<>())
                                 .put(version, new Expected(key, sinceUs));
-                lost += replaced == null ? 0 : 1;
+                replaced += before == null ? 0 : 1;
             }
         }
     }
 
+    /** A change counts once its key has it or a newer one, whatever version the node is at. */
     @Override
     public void inForce(Node node, long epoch, long version) {
         TreeMap<Long, Expected> waiting = node.role() == Role.SUBSCRIBER ? pending.get(node) : null;
-        while (waiting != null && !waiting.isEmpty() && waiting.firstKey() <= version) {
-            Map.Entry<Long, Expected> next = waiting.pollFirstEntry();
+        if (waiting == null) {
+            return;
+        }
+        Iterator<Map.Entry<Long, Expected>> reached =
+                waiting.headMap(version, true).entrySet().iterator();
+        while (reached.hasNext()) {
+            Map.Entry<Long, Expected> next = reached.next();
             Expected expected = next.getValue();
             if (node.participant().versionOf(expected.key()) >= next.getKey()) {
                 delaysUs.add(clock.nowUs() - expected.sinceUs());
-            } else {
-                lost++;
+                reached.remove();
             }
         }
     }
@@ -96,17 +105,12 @@
         traffic.clear();
         pending.clear();
         delaysUs.clear();
-        lost = 0;
+        replaced = 0;
     }
 
     /** Changes that are not in force yet, summed over the subscribers that want them. */
     long missing() {
-        return pending.values().stream().mapToLong(Map::size).sum();
-    }
-
-    /** As {@link #missing}, of changes in place of which another one was committed. */
-    long lost() {
-        return lost;
+        return replaced + pending.values().stream().mapToLong(Map::size).sum();
     }
 
     long samples() {
--- a/src/main/java/passhatch/lab/scale/DistributionScaleRun.java
+++ b/src/main/java/passhatch/lab/scale/DistributionScaleRun.java
@@ -185,7 +185,6 @@
         figures.put(phase + ".in_force_s.worst", meter.quantile(1));
         figures.put(phase + ".samples", (double) meter.samples());
         figures.put(phase + ".missing", (double) meter.missing());
-        figures.put(phase + ".lost", (double) meter.lost());
     }
 
     /** Submits a change; it counts from here on, so the time to a majority is included. */
