--- a/src/main/java/passhatch/distribution/Timing.java
+++ b/src/main/java/passhatch/distribution/Timing.java
@@ -19,8 +19,8 @@
     static final long SNAPSHOT_RETRY_US = 50_000;
 
     /**
-     * A source that has not answered for so long is left: a poll and three repetitions, so that loss
-     * seldom does it.
+     * A source that has not answered for so long is left: a poll and three repetitions, so that
+     * loss seldom does it.
      */
     static final long SILENCE_US = 1_400_000;
 
--- a/src/main/java/passhatch/lab/scale/DistributionMeter.java
+++ b/src/main/java/passhatch/lab/scale/DistributionMeter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -28,9 +29,15 @@
         }
     }
 
+    private record Expected(String key, long sinceUs) {}
+
     private final Map<Node, Traffic> traffic = new HashMap<>();
-    private final Map<Node, TreeMap<Long, Long>> pending = new HashMap<>();
+    private final Map<Node, TreeMap<Long, Expected>> pending = new HashMap<>();
     private final List<Long> delaysUs = new ArrayList<>();
+
+    /** Waited for when another leader gave their version to another change. */
+    private long replaced;
+
     private Clock clock = () -> 0;
 
     /** Simulated time, as {@link Simulation#nowUs}. */
@@ -42,21 +49,34 @@
         this.clock = clock;
     }
 
-    /** A change is committed that these subscribers want. */
-    void expect(long version, List<Node> subscribers) {
-        long nowUs = clock.nowUs();
+    /** A change of a key has got a version; these subscribers want it since a time. */
+    void expect(String key, long version, long sinceUs, List<Node> subscribers) {
         for (Node node : subscribers) {
             if (node.isUp() && node.participant().version() < version) {
-                pending.computeIfAbsent(node, any -> new TreeMap<>()).put(version, nowUs);
+                Expected before =
+                        pending.computeIfAbsent(node, any -> new TreeMap<>())
+                                .put(version, new Expected(key, sinceUs));
+                replaced += before == null ? 0 : 1;
             }
         }
     }
 
+    /** A change counts once its key has it or a newer one, whatever version the node is at. */
     @Override
     public void inForce(Node node, long epoch, long version) {
-        TreeMap<Long, Long> waiting = node.role() == Role.SUBSCRIBER ? pending.get(node) : null;
-        while (waiting != null && !waiting.isEmpty() && waiting.firstKey() <= version) {
-            delaysUs.add(clock.nowUs() - waiting.pollFirstEntry().getValue());
+        TreeMap<Long, Expected> waiting = node.role() == Role.SUBSCRIBER ? pending.get(node) : null;
+        if (waiting == null) {
+            return;
+        }
+        Iterator<Map.Entry<Long, Expected>> reached =
+                waiting.headMap(version, true).entrySet().iterator();
+        while (reached.hasNext()) {
+            Map.Entry<Long, Expected> next = reached.next();
+            Expected expected = next.getValue();
+            if (node.participant().versionOf(expected.key()) >= next.getKey()) {
+                delaysUs.add(clock.nowUs() - expected.sinceUs());
+                reached.remove();
+            }
         }
     }
 
@@ -85,11 +105,12 @@
         traffic.clear();
         pending.clear();
         delaysUs.clear();
+        replaced = 0;
     }
 
     /** Changes that are not in force yet, summed over the subscribers that want them. */
     long missing() {
-        return pending.values().stream().mapToLong(Map::size).sum();
+        return replaced + pending.values().stream().mapToLong(Map::size).sum();
     }
 
     long samples() {
