Open both of an agent's sockets in one place, and drop what nothing calls

Need, by a read of the change: ChangesNode opened its UDP socket by a copy of FleetNode's lines; ConfigKey.isOfFleet and two of the scale tests' limits had no caller. Change: DatagramListener.bind for both; the three are gone. Behaviour is the same. Result: AgentConfigTest, ArchitectureTest, ChangesStoreTest, MessageCodecTest, CommandsTest, LinearFitTest and ScaleCommandTest pass, so does ChangesIT with eleven agents (which use both sockets); Spotless and Checkstyle are clean. The full verify was not run again.

--- a/src/main/java/passhatch/agent/ChangesNode.java
+++ b/src/main/java/passhatch/agent/ChangesNode.java
@@ -1,17 +1,12 @@
 package passhatch.agent;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -45,9 +40,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(ChangesNode.class);
 
-    /** More than is allowed, so that a datagram that is too long is seen to be. */
-    private static final int RECEIVE_BYTES = 512;
-
     private static final int DATAGRAMS_A_TURN = 256;
 
     /** Changes within this time are published together. */
@@ -89,22 +81,10 @@
             throws IOException, StoreException, InterruptedException {
         openStore(folder);
         List<DiskRecord> records = store == null ? List.of() : store.takeRecords();
-        ChannelFuture bound =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioDatagramChannel.class)
-                        .option(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new FixedRecvByteBufAllocator(RECEIVE_BYTES)
-                                        .maxMessagesPerRead(DATAGRAMS_A_TURN))
-                        .handler(new Receiver())
-                        .bind(config.listen())
-                        .await();
-        if (!bound.isSuccess()) {
-            throw new IOException(config.listen() + ": " + bound.cause().getMessage());
-        }
+        Channel bound =
+                DatagramListener.bind(loop, config.listen(), new Receiver(), DATAGRAMS_A_TURN);
         try {
-            loop.submit(() -> begin(bound.channel(), records, random)).sync();
+            loop.submit(() -> begin(bound, records, random)).sync();
         } catch (IllegalArgumentException higherEpoch) {
             throw new BadInput("changes.epoch: " + higherEpoch.getMessage());
         }
--- a/src/main/java/passhatch/agent/FleetNode.java
+++ b/src/main/java/passhatch/agent/FleetNode.java
@@ -1,17 +1,12 @@
 package passhatch.agent;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -42,9 +37,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(FleetNode.class);
 
-    /** More than is allowed, so that a datagram that is too long is seen to be. */
-    private static final int RECEIVE_BYTES = 512;
-
     private static final int DATAGRAMS_A_TURN = 512;
 
     /** A thousand members' changes of a moment need not be a thousand lines. */
@@ -77,23 +69,11 @@
      * @throws IOException where the address cannot be used
      */
     void start(String version, RandomGenerator random) throws IOException, InterruptedException {
-        ChannelFuture bound =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioDatagramChannel.class)
-                        .option(
-                                ChannelOption.RECVBUF_ALLOCATOR,
-                                new FixedRecvByteBufAllocator(RECEIVE_BYTES)
-                                        .maxMessagesPerRead(DATAGRAMS_A_TURN))
-                        .handler(new Receiver())
-                        .bind(config.listen())
-                        .await();
-        if (!bound.isSuccess()) {
-            throw new IOException(config.listen() + ": " + bound.cause().getMessage());
-        }
+        Channel bound =
+                DatagramListener.bind(loop, config.listen(), new Receiver(), DATAGRAMS_A_TURN);
         loop.submit(
                         () -> {
-                            socket = bound.channel();
+                            socket = bound;
                             places = places(config.members());
                             membership =
                                     new Membership(
--- a/src/main/java/passhatch/distribution/ConfigKey.java
+++ b/src/main/java/passhatch/distribution/ConfigKey.java
@@ -16,7 +16,6 @@
     public static final int MAX_VALUE_BYTES = 96;
 
     private static final String SERVICE_PREFIX = "service/";
-    private static final String FLEET_PREFIX = "fleet/";
     private static final Pattern FORM =
             Pattern.compile("(service/[a-z0-9][a-z0-9.-]*|fleet)/[a-z][a-z0-9_]*");
 
@@ -44,8 +43,4 @@
     public static String settingOf(String key) {
         return key.substring(key.lastIndexOf('/') + 1);
     }
-
-    static boolean isOfFleet(String key) {
-        return key.startsWith(FLEET_PREFIX);
-    }
 }
--- a/src/main/java/passhatch/lab/scale/Limits.java
+++ b/src/main/java/passhatch/lab/scale/Limits.java
@@ -21,12 +21,6 @@
     /** Backends in the largest fleet, one proxy beside each. */
     static final int BACKENDS = 19_000;
 
-    /** Services in the largest fleet. */
-    static final int SERVICES = 2_600;
-
-    /** Calls a second over the whole fleet. */
-    static final double CALLS_PER_SECOND = 1_900_000;
-
     /** Changes of the list a day over the whole fleet. */
     static final int CHANGES_PER_DAY = 15_000;
 
