--- a/src/main/java/passhatch/lab/drill/ProxyChild.java
+++ b/src/main/java/passhatch/lab/drill/ProxyChild.java
@@ -58,6 +58,7 @@
     private final List<InetSocketAddress> peers;
     private final InetSocketAddress peerListen;
     private final Path folder;
+    private InetSocketAddress discovery;
     private InetSocketAddress listen;
     private InetSocketAddress control;
     private Child child;
@@ -72,6 +73,7 @@
         this.number = number;
         this.shared = shared;
         this.peers = peers;
+        this.discovery = shared.discovery();
         this.peerListen = peerListen;
         this.folder = Files.createDirectories(shared.folder().resolve(name()));
         chooseAddresses();
@@ -108,6 +110,15 @@
         writeConfiguration();
     }
 
+    /** Its configuration names discovery at this address from now on, and a SIGHUP says so. */
+    void moveDiscovery(InetSocketAddress address) throws IOException, InterruptedException {
+        discovery = address;
+        writeConfiguration();
+        if (!child.signal("HUP")) {
+            throw new IOException(name() + " does not run");
+        }
+    }
+
     private Path writeConfiguration() throws IOException {
         return Files.writeString(
                 folder.resolve("config.json"), JSON.writeValueAsString(configuration()));
@@ -125,7 +136,7 @@
                         "PROXY_CONTROL",
                         Local.text(control),
                         "PROXY_DISCOVERY",
-                        Local.text(shared.discovery()),
+                        Local.text(discovery),
                         "PROXY_CONFIG",
                         config.toString(),
                         "TMPDIR",
@@ -221,7 +232,7 @@
                         s.proxies().sockets()));
         config.put("listen", Local.text(listen));
         config.put("control", Local.text(control));
-        config.put("discovery", Local.text(shared.discovery()));
+        config.put("discovery", Local.text(discovery));
         config.put("peer_listen", Local.text(peerListen));
         config.put("peers", peers.stream().map(Local::text).toList());
         config.put("settings", settings);
--- a/src/main/java/passhatch/lab/standin/BackendServer.java
+++ b/src/main/java/passhatch/lab/standin/BackendServer.java
@@ -83,6 +83,7 @@
     private double extent;
     private long startedNs = System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     private boolean draining;
+    private boolean acceptsDraining;
     private long drainToldNs;
     private Channel listener;
     private InetSocketAddress address;
@@ -139,9 +140,19 @@
      *     later than that and the grace breaks the rule
      */
     public void drain(long toldAfterMs) {
+        drain(toldAfterMs, false);
+    }
+
+    /** The same of a backend that goes on accepting requests, for as long as it runs. */
+    public void drainAndAccept(long toldAfterMs) {
+        drain(toldAfterMs, true);
+    }
+
+    private void drain(long toldAfterMs, boolean accepts) {
         loop.execute(
                 () -> {
                     draining = true;
+                    acceptsDraining = accepts;
                     drainToldNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(toldAfterMs);
                 });
     }
@@ -239,8 +250,9 @@
                 ledger.afterDrain();
             }
             boolean full = working >= shape.slots() && waiting.size() >= shape.queue();
-            ledger.arrived(id, onceOnly, !draining && !full);
-            if (draining || full) {
+            boolean turnsAway = full || draining && !acceptsDraining;
+            ledger.arrived(id, onceOnly, !turnsAway);
+            if (turnsAway) {
                 answer(ctx.channel(), HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0], true);
             } else {
                 waiting.add(new Job(ctx.channel(), id));
--- a/src/main/java/passhatch/lab/standin/DiscoveryServer.java
+++ b/src/main/java/passhatch/lab/standin/DiscoveryServer.java
@@ -47,6 +47,9 @@
 
     private static final long EMPTY_LINE_MS = 2_000;
 
+    /** After a move its old address closes what is open there after so long. */
+    private static final long OLD_ADDRESS_CLOSES_MS = 1_500;
+
     /** While it is overloaded, a call waits in its queue for so long and is then turned away. */
     private static final long QUEUE_WAIT_MS = 2_000;
 
@@ -86,6 +89,7 @@
     private final Set<Channel> open = new HashSet<>();
     private final Set<Channel> watches = new HashSet<>();
     private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder answers = new LongAdder();
     private long index;
     private boolean stalled;
     private boolean overloaded;
@@ -135,8 +139,36 @@
                 .syncUninterruptibly();
     }
 
+    /** Calls that were answered with a list or with changes. */
+    public long answers() {
+        return answers.sum();
+    }
+
     // ---- faults
 
+    /**
+     * Listens at another address from now on; the old one takes no new connections, and closes the
+     * open ones a while later.
+     *
+     * @return the new address
+     */
+    public InetSocketAddress move() throws IOException {
+        Channel old = listener;
+        Set<Channel> openThere = loop.submit(() -> Set.copyOf(open)).syncUninterruptibly().getNow();
+        bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        old.close().syncUninterruptibly();
+        loop.schedule(
+                () -> openThere.forEach(Channel::close),
+                OLD_ADDRESS_CLOSES_MS,
+                TimeUnit.MILLISECONDS);
+        return address;
+    }
+
+    /** Writes a line to all watches as it stands, whether or not it is a change. */
+    public void say(String line) {
+        loop.submit(() -> tell(line + "\n")).syncUninterruptibly();
+    }
+
     /** It is down: watches end, and calls are refused until {@link #up}. */
     public void down() {
         loop.submit(
@@ -268,6 +300,7 @@
         }
 
         private void answer(ChannelHandlerContext ctx, String asked) {
+            answers.increment();
             QueryStringDecoder uri = new QueryStringDecoder(asked);
             if (!uri.path().equals("/v1/endpoints")) {
                 whole(ctx.channel(), HttpResponseStatus.NOT_FOUND, "");
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -15,6 +15,12 @@
     /** What discovery has to tell counts as told after this, whether or not it arrived. */
     private static final long TOLD_AFTER_MS = 6_000;
 
+    /** After a signal that discovery has moved, all that it has to tell counts as told. */
+    private static final long TOLD_AFTER_MOVE_MS = 4_000;
+
+    /** As long as nothing changes a watch brings an empty line this often. */
+    private static final long EMPTY_LINE_EVERY_MS = 2_000;
+
     /** How long requests are sent beyond the grace: the rule would be broken many times. */
     private static final long BEYOND_MS = 2_500;
 
@@ -31,6 +37,17 @@
         list(draining.name(), "DRAINING");
     }
 
+    /** As {@link #drainUntold}, of a backend that goes on accepting. */
+    private void drainAcceptingUntold(long toldAfterMs) {
+        BackendServer draining = field.backends.get(0);
+        draining.drainAndAccept(toldAfterMs);
+        list(draining.name(), "DRAINING");
+    }
+
+    private static long millisSince(long ns) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - ns);
+    }
+
     /** Sends requests all along, and says how many of them were served. */
     private int serveFor(long ms) throws InterruptedException {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
@@ -82,4 +99,19 @@
         assertEquals(0, field.ledger.drainBroken());
         await("the drain", () -> proxy.ask("vars").contains("hosts_down 1"));
     }
+
+    @Test
+    void aDrainThatAWatchHadNotToldWhenItEndedCountsFromTheMoveBefore() throws Exception {
+        assertEquals(200, ask());
+        long answers = field.discovery.answers();
+        long movedNs = moveDiscovery();
+        await("an answer there", () -> field.discovery.answers() > answers);
+        fault("do = 'tell_late', by = '1h'");
+        drainAcceptingUntold(TOLD_AFTER_MOVE_MS - millisSince(movedNs));
+        serveFor(EMPTY_LINE_EVERY_MS);
+        fault("do = 'overload'");
+        fault("do = 'break'");
+        serveFor(TOLD_AFTER_MOVE_MS + BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+    }
 }
--- a/src/test/java/passhatch/lab/drill/OneProxyDrill.java
+++ b/src/test/java/passhatch/lab/drill/OneProxyDrill.java
@@ -110,6 +110,12 @@
         }
     }
 
+    /** Discovery moves, and the proxy is told by SIGHUP; says when, as {@link System#nanoTime}. */
+    long moveDiscovery() throws IOException, InterruptedException {
+        proxy.moveDiscovery(field.discovery.move());
+        return System.nanoTime();
+    }
+
     int listed() {
         return proxy.ask("vars")
                 .lines()
