Log why a watch on discovery ended, and when the list of servers goes out of use

The drain incident's logs could not tell a peer's close from a reset, nor whether an object had begun, nor when a proxy held its list for usable. The line of a watch's end now has its reason and says so where an object was cut; one line marks each time the list goes out of use or into it; with the trace on, each message of discovery has a line.

Nothing is decided otherwise. DiscoveryWatchTest, UnconfirmedListTest and OperatorLogTest pass.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -117,6 +117,7 @@
     private long wakeAtUs = Long.MAX_VALUE;
     private boolean begun;
     private boolean watching;
+    private boolean listUsable = true;
     private long sayAtUs = Long.MIN_VALUE;
     private long askAtUs = Long.MAX_VALUE;
     private int askFailures;
@@ -391,6 +392,7 @@
             giveUp(nowUs, call);
             return;
         }
+        logListState(nowUs);
         if (!lease.anyUsable(nowUs)) {
             holdForList(nowUs, call);
             return;
@@ -413,6 +415,16 @@
         }
     }
 
+    /** One line each time the list of servers may no longer be used, or may be used again. */
+    private void logListState(long nowUs) {
+        boolean usable = lease.anyUsable(nowUs);
+        if (usable != listUsable) {
+            listUsable = usable;
+            actions.log(usable ? "the list of servers is in use"
+                    : "the list of servers is not in use, no change that it lacks can be excluded");
+        }
+    }
+
     /** Without a list that may be used a call waits for one, but not so long that it cannot go elsewhere. */
     private void holdForList(long nowUs, Call call) {
         if (nowUs >= call.listUntilUs) {
--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -161,7 +161,7 @@
                         get.headers().set(HttpHeaderNames.HOST, "discovery");
                         connecting.channel().writeAndFlush(get);
                     } else {
-                        log.line("discovery: " + done.cause().getMessage());
+                        watch.endReason = done.cause().getMessage();
                     }
                 });
         log.line("discovery: call from version " + index + " to " + address + " begins");
@@ -191,7 +191,7 @@
         if (watch.values.pending()) {
             watch.skipped("it did not end");
         }
-        log.line("discovery: nothing was told for " + limitMs + " ms");
+        watch.endReason = "nothing was told for " + limitMs + " ms";
         channel.close();
     }
 
@@ -222,7 +222,10 @@
                         + " ms, "
                         + (watch.heard
                                 ? "last heard " + millisSince(watch.heardNs) + " ms ago"
-                                : "with nothing heard"));
+                                : "with nothing heard")
+                        + ": "
+                        + watch.endReason
+                        + (watch.values.pending() ? ", within an object" : ""));
         listener.lost(TimeUnit.MILLISECONDS.toMicros(millisSince(watch.heardNs)));
         if (source.onRequest()) {
             // The module hears of it and says when to ask again.
@@ -245,6 +248,7 @@
         private boolean ok;
         private boolean heard;
         private boolean skipping;
+        private String endReason = "its connection was closed";
         boolean fetched;
 
         Watch(boolean fetch) {
@@ -259,7 +263,7 @@
             if (message instanceof HttpResponse response) {
                 ok = response.status().equals(HttpResponseStatus.OK);
                 if (!ok) {
-                    log.line("discovery answered " + response.status());
+                    endReason = "answered " + response.status();
                     // It may no longer know the version asked for.
                     whole = response.status().code() < 500;
                     ctx.close();
@@ -272,6 +276,7 @@
                     if (values.pending()) {
                         skipped("it is cut off by the end of the answer");
                     }
+                    endReason = "the answer ended";
                     ctx.close();
                 }
             }
@@ -293,6 +298,7 @@
                 return;
             }
             hear("version " + list.index());
+            log.trace("discovery-told", "version", list.index());
             skipping = false;
             index = list.index();
             whole = false;
@@ -317,6 +323,7 @@
             pauses.reset();
             boolean first = !heard;
             hear("no change since version " + index);
+            log.trace("discovery-told", "empty-line", index);
             if (first && !fetch) {
                 listener.listed(new EndpointList(index, false, List.of()));
             }
@@ -336,7 +343,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.line("discovery: " + cause);
+            endReason = cause.toString();
             ctx.close();
         }
     }
