Take it for no sign that a server does not drain that it accepts requests

Callers could be sent to a draining server for as long as it accepted: each request that it took renewed its own lease of 2.35 s, over and over, any error among them.

A list that is not confirmed goes out of use as a whole, when the first change that it may lack counts as told.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -4,8 +4,8 @@
  * Until when servers may be sent requests by a list that discovery no longer confirms. A change
  * that did not arrive counts as told some time after it was made; from then on a server that it
  * takes out of use may be sent requests for the grace only. So a list is held as a lease: it is in
- * force while a watch is alive, runs out after that, and a server that goes on accepting requests
- * renews its own.
+ * force while a watch is alive, and runs out after that. That a server accepts requests renews
+ * nothing: one that drains may go on accepting for as long as it runs.
  *
  * <p>No clock of its own; all times are microseconds of one clock.
  */
@@ -26,21 +26,14 @@
      */
     public static final long UNHEARD_START_US = 7_000_000;
 
-    /**
-     * A server that drains may go on accepting for seconds before it turns requests away, so that
-     * it accepted one is word of its state for so long only.
-     */
-    static final long ACCEPTED_FOR_US = 2_500_000;
-
     /** As the time of what has not happened. */
-    static final long NEVER = Long.MIN_VALUE;
+    private static final long NEVER = Long.MIN_VALUE;
 
     private final long graceUs;
     private boolean alive;
     private long currentAtUs = NEVER;
     private long grantedAtUs = Long.MAX_VALUE;
     private long moveToldAtUs = NEVER;
-    private long lastAcceptedUs = NEVER;
 
     /**
      * No list yet.
@@ -89,32 +82,14 @@
         moveToldAtUs = nowUs + MOVE_TOLD_WITHIN_US;
     }
 
-    /** A server has accepted a request that was sent at this time. */
-    void accepted(long sentUs) {
-        lastAcceptedUs = Math.max(lastAcceptedUs, sentUs);
-    }
-
-    /**
-     * Whether a server of the list may be sent requests.
-     *
-     * @param acceptedUs when the latest request was sent that it accepted, or {@link #NEVER}
-     */
-    boolean usable(long nowUs, long acceptedUs) {
-        return alive || byList(nowUs) || byAcceptance(nowUs, acceptedUs);
-    }
-
-    /** Whether any server may be. */
-    boolean anyUsable(long nowUs) {
-        return usable(nowUs, lastAcceptedUs);
+    /** Whether servers may be sent requests by the list. */
+    boolean usable(long nowUs) {
+        return alive || nowUs < usableUntilUs(nowUs);
     }
 
-    private boolean byList(long nowUs) {
+    private long usableUntilUs(long nowUs) {
         long fromUs = currentAtUs == NEVER ? grantedAtUs : currentAtUs;
-        return fromUs <= nowUs && nowUs < toldAtUs(fromUs) + graceUs - 2 * HOLD_UP_US;
-    }
-
-    private static boolean byAcceptance(long nowUs, long acceptedUs) {
-        return acceptedUs != NEVER && nowUs < acceptedUs + ACCEPTED_FOR_US - HOLD_UP_US;
+        return fromUs > nowUs ? NEVER : toldAtUs(fromUs) + graceUs - 2 * HOLD_UP_US;
     }
 
     /** When the first change after this time may count as told. */
