Let the first of several moves of discovery say when an unheard drain counts as told

Callers could be sent to a draining server after orders to read the configuration again in a row: each move set the 4 s anew, so that with moves at 0, 1.5 and 3 s the list was used until 6.44 s, where 4 s and the grace of 0.75 s make 4.75. The property test beside it set its own bound anew at each move, as the class did; it keeps the earliest now.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -76,10 +76,12 @@
         }
     }
 
-    /** Discovery is asked at another address from now on. */
+    /** Discovery is asked at another address from now on; of several moves the first counts. */
     void moved(long nowUs) {
         lost(nowUs);
-        moveToldAtUs = nowUs + MOVE_TOLD_WITHIN_US;
+        if (moveToldAtUs == NEVER) {
+            moveToldAtUs = nowUs + MOVE_TOLD_WITHIN_US;
+        }
     }
 
     /** Whether servers may be sent requests by the list. */
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -20,6 +20,7 @@
 final class UnconfirmedListTest {
 
     private static final long TOLD_MS = 6_000;
+    private static final long MOVE_TOLD_MS = 4_000;
     private static final long GRACE_MS = 500;
     private static final long HOLD_UP_MS = 150;
     private static final List<Server> TWO =
@@ -114,7 +115,7 @@
                     }
                     case 1 -> {
                         lease.moved(now);
-                        moveTold = now + ListLease.MOVE_TOLD_WITHIN_US;
+                        moveTold = Math.min(moveTold, now + MOVE_TOLD_MS * MS);
                     }
                     default -> {}
                 }
@@ -142,4 +143,16 @@
             p.pass(50);
         }
     }
+
+    /** Of several moves the first counts, where nothing was heard between them. */
+    @Test
+    void movesInARowDoNotPutOffWhenAnUnheardDrainCountsAsTold() {
+        ListLease lease = new ListLease(GRACE_MS * MS);
+        lease.confirmed(0);
+        lease.moved(0);
+        lease.moved(1_500 * MS);
+        lease.moved(3_000 * MS);
+        assertTrue(lease.usable(3_500 * MS));
+        assertFalse(lease.usable((4_000 + GRACE_MS) * MS));
+    }
 }
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -114,4 +114,18 @@
         serveFor(TOLD_AFTER_MOVE_MS + BEYOND_MS);
         assertEquals(0, field.ledger.drainBroken());
     }
+
+    @Test
+    void movesInARowDoNotPutOffWhenADrainCountsAsTold() throws Exception {
+        assertEquals(200, ask());
+        fault("do = 'tell_late', by = '1h'");
+        fault("do = 'overload'");
+        drainAcceptingUntold(TOLD_AFTER_MOVE_MS);
+        for (int i = 0; i < 3; i++) {
+            moveDiscovery();
+            serveFor(1_500);
+        }
+        serveFor(TOLD_AFTER_MOVE_MS + BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+    }
 }
