Keep a move's bound of 4 s until the list is from after it, not until the first answer

Cause: after a move of discovery all that it has to tell counts as told 4 s after the signal, and the list's lease dropped that bound at the first answer from the new address. What discovery got between that answer and the 4 s was then held to 6 s after the last word.

Each move's bound now stands until the list is from a time past it, so that a lost watch falls back to the earliest bound that it may have missed. Both told times of the operators are kept, as the stricter of them is taken.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -1,5 +1,7 @@
 package passhatch;
 
+import java.util.ArrayDeque;
+
 /**
  * Until when servers may be sent requests by a list that discovery no longer confirms. A change
  * that did not arrive counts as told some time after it was made; from then on a server that it
@@ -33,7 +35,9 @@
     private boolean alive;
     private long currentAtUs = NEVER;
     private long grantedAtUs = Long.MAX_VALUE;
-    private long moveToldAtUs = NEVER;
+
+    /** When what is found after each move counts as told, oldest first; without those passed. */
+    private final ArrayDeque<Long> movesToldAtUs = new ArrayDeque<>();
 
     /**
      * No list yet.
@@ -64,24 +68,29 @@
     /** Discovery has told the list, or changes to it, and goes on telling. */
     void confirmed(long nowUs) {
         alive = true;
-        currentAtUs = nowUs;
-        moveToldAtUs = NEVER;
+        currentAsOf(nowUs);
     }
 
     /** Changes may be missed that were made after this time. */
     void lost(long heardUs) {
         if (alive) {
             alive = false;
-            currentAtUs = heardUs;
+            currentAsOf(heardUs);
         }
     }
 
-    /** Discovery is asked at another address from now on; of several moves the first counts. */
+    /** What counted as told by then is in the list. */
+    private void currentAsOf(long timeUs) {
+        currentAtUs = timeUs;
+        while (!movesToldAtUs.isEmpty() && movesToldAtUs.peek() <= timeUs) {
+            movesToldAtUs.poll();
+        }
+    }
+
+    /** Discovery is asked at another address from now on; each move counts by itself. */
     void moved(long nowUs) {
         lost(nowUs);
-        if (moveToldAtUs == NEVER) {
-            moveToldAtUs = nowUs + MOVE_TOLD_WITHIN_US;
-        }
+        movesToldAtUs.add(nowUs + MOVE_TOLD_WITHIN_US);
     }
 
     /** Whether servers may be sent requests by the list. */
@@ -97,6 +106,6 @@
     /** When the first change after this time may count as told. */
     private long toldAtUs(long afterUs) {
         long toldAtUs = afterUs + TOLD_WITHIN_US;
-        return moveToldAtUs > afterUs ? Math.min(moveToldAtUs, toldAtUs) : toldAtUs;
+        return movesToldAtUs.isEmpty() ? toldAtUs : Math.min(movesToldAtUs.peek(), toldAtUs);
     }
 }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -155,4 +155,16 @@
         assertTrue(lease.usable(3_500 * MS));
         assertFalse(lease.usable((4_000 + GRACE_MS) * MS));
     }
+
+    /** An answer at the new address holds what was there by then; the drain came after it. */
+    @Test
+    void anAnswerAfterAMoveDoesNotPutOffWhenALaterDrainCountsAsTold() {
+        ListLease lease = new ListLease(GRACE_MS * MS);
+        lease.confirmed(0);
+        lease.moved(1_000 * MS);
+        lease.confirmed(2_000 * MS);
+        lease.lost(2_500 * MS);
+        assertTrue(lease.usable(4_500 * MS));
+        assertFalse(lease.usable((1_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
+    }
 }
