Hold a list that is kept over a move for as old as it was last heard

Callers could be sent to a draining server after a move of discovery that came while a watch was silent: the list counted as current at the move, up to 3 s too young. With a move 2.9 s after the last word it was used until 7.34 s after that, where 6 s and the grace of 0.75 s make 6.75. The drill with a move 2.7 s after discovery fell silent had 8 requests past the grace, and the unit test failed; both pass now that the module is told when discovery was last heard.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -342,8 +342,8 @@
     void serversChanged(long nowUs, ListKind kind, List<Server> servers);
 
     /**
-     * A call to discovery failed or its subscription broke; the list held stays in force for a
-     * while, and longer for servers that go on accepting requests.
+     * A call to discovery failed or its subscription broke; the list held stays in force until the
+     * first change that it may lack counts as told.
      *
      * @param heardUs when discovery was last heard: later changes may have been missed
      */
@@ -352,8 +352,12 @@
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
-    /** Discovery is asked at another address from now on. */
-    void discoveryMoved(long nowUs);
+    /**
+     * Discovery is found at another address from now on.
+     *
+     * @param heardUs when it was last heard at the old one
+     */
+    void discoveryMoved(long nowUs, long heardUs);
 
     /** Whether a server may be sent something now; to be asked just before each write. */
     boolean mayReach(long nowUs, String server);
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -87,9 +87,13 @@
         }
     }
 
-    /** Discovery is asked at another address from now on; each move counts by itself. */
-    void moved(long nowUs) {
-        lost(nowUs);
+    /**
+     * Discovery is asked at another address from now on; each move counts by itself.
+     *
+     * @param heardUs when it was last heard at the old one
+     */
+    void moved(long nowUs, long heardUs) {
+        lost(heardUs);
         movesToldAtUs.add(nowUs + MOVE_TOLD_WITHIN_US);
     }
 
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -346,8 +346,8 @@
     }
 
     @Override
-    public void discoveryMoved(long nowUs) {
-        lease.moved(nowUs);
+    public void discoveryMoved(long nowUs, long heardUs) {
+        lease.moved(nowUs, heardUs);
     }
 
     @Override
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -211,8 +211,13 @@
     }
 
     @Override
-    public void moved() {
-        tell(null, () -> balancer.discoveryMoved(clock.nowUs()));
+    public void moved(long heardUsAgo) {
+        tell(
+                null,
+                () -> {
+                    long now = clock.nowUs();
+                    balancer.discoveryMoved(now, now - heardUsAgo);
+                });
     }
 
     private void learn(EndpointList list) {
--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -51,8 +51,12 @@
         /** A connection to it stands, whatever comes of it. */
         void reached();
 
-        /** It is found at another address from now on. */
-        void moved();
+        /**
+         * It is found at another address from now on.
+         *
+         * @param heardUsAgo microseconds since the watch that is given up for it was last heard
+         */
+        void moved(long heardUsAgo);
     }
 
     private final EventLoop loop;
@@ -110,7 +114,7 @@
     /** Goes on at another address; the watch at the old one is given up. */
     public void moveTo(InetSocketAddress to) {
         address = to;
-        listener.moved();
+        listener.moved(current == null ? 0 : microsSince(current.heardNs));
         pauses.reset();
         Channel old = channel;
         current = null;
@@ -226,7 +230,7 @@
                         + ": "
                         + watch.endReason
                         + (watch.values.pending() ? ", within an object" : ""));
-        listener.lost(TimeUnit.MILLISECONDS.toMicros(millisSince(watch.heardNs)));
+        listener.lost(microsSince(watch.heardNs));
         if (source.onRequest()) {
             // The module hears of it and says when to ask again.
             return;
@@ -234,6 +238,10 @@
         loop.schedule(this::watch, pauses.next(), TimeUnit.MILLISECONDS);
     }
 
+    private static long microsSince(long ns) {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - ns);
+    }
+
     private static long millisSince(long ns) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - ns);
     }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -87,7 +87,7 @@
     @Test
     void afterAMoveWhatIsFoundThereCountsAsToldSooner() {
         Proxy p = new Proxy(setup()).with("a", "b");
-        p.logic.discoveryMoved(p.now);
+        p.logic.discoveryMoved(p.now, p.now);
         String served = p.serve();
         p.pass(ListLease.MOVE_TOLD_WITHIN_US / MS + GRACE_MS);
         assertFalse(p.logic.mayReach(p.now, served));
@@ -114,7 +114,7 @@
                         moveTold = Long.MAX_VALUE;
                     }
                     case 1 -> {
-                        lease.moved(now);
+                        lease.moved(now, now);
                         moveTold = Math.min(moveTold, now + MOVE_TOLD_MS * MS);
                     }
                     default -> {}
@@ -149,9 +149,9 @@
     void movesInARowDoNotPutOffWhenAnUnheardDrainCountsAsTold() {
         ListLease lease = new ListLease(GRACE_MS * MS);
         lease.confirmed(0);
-        lease.moved(0);
-        lease.moved(1_500 * MS);
-        lease.moved(3_000 * MS);
+        lease.moved(0, 0);
+        lease.moved(1_500 * MS, 0);
+        lease.moved(3_000 * MS, 0);
         assertTrue(lease.usable(3_500 * MS));
         assertFalse(lease.usable((4_000 + GRACE_MS) * MS));
     }
@@ -161,10 +161,20 @@
     void anAnswerAfterAMoveDoesNotPutOffWhenALaterDrainCountsAsTold() {
         ListLease lease = new ListLease(GRACE_MS * MS);
         lease.confirmed(0);
-        lease.moved(1_000 * MS);
+        lease.moved(1_000 * MS, 0);
         lease.confirmed(2_000 * MS);
         lease.lost(2_500 * MS);
         assertTrue(lease.usable(4_500 * MS));
         assertFalse(lease.usable((1_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
     }
+
+    /** A move tells nothing of the list: what was heard last is as old as it was. */
+    @Test
+    void aMoveDoesNotMakeTheListNewer() {
+        ListLease lease = new ListLease(GRACE_MS * MS);
+        lease.confirmed(0);
+        lease.moved(2_900 * MS, 0);
+        assertTrue(lease.usable(6_000 * MS));
+        assertFalse(lease.usable((TOLD_MS + GRACE_MS) * MS));
+    }
 }
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -20,6 +20,9 @@
     /** As long as nothing changes a watch brings an empty line this often. */
     private static final long EMPTY_LINE_EVERY_MS = 2_000;
 
+    /** A watch that has said nothing for 3 s is given up. */
+    private static final long SILENT_BEFORE_MOVE_MS = 2_700;
+
     /** How long requests are sent beyond the grace: the rule would be broken many times. */
     private static final long BEYOND_MS = 2_500;
 
@@ -128,4 +131,18 @@
         serveFor(TOLD_AFTER_MOVE_MS + BEYOND_MS);
         assertEquals(0, field.ledger.drainBroken());
     }
+
+    @Test
+    void aMoveShortlyBeforeASilentWatchIsGivenUpDoesNotMakeTheListNewer() throws Exception {
+        assertEquals(200, ask());
+        long answers = field.discovery.answers();
+        fault("do = 'break'");
+        await("a new watch", () -> field.discovery.answers() > answers);
+        fault("do = 'stall'");
+        drainAcceptingUntold(TOLD_AFTER_MS);
+        serveFor(SILENT_BEFORE_MOVE_MS);
+        moveDiscovery();
+        serveFor(TOLD_AFTER_MS + BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+    }
 }
