Move what is decided of the watch on discovery into a state machine without clock or socket

Discovery mixed its decisions with Netty's calls, timers and clock, so that only real sockets could play the moments that matter, a few schedules a minute. ListWatch now takes typed events with their time (connected, answered, body, ended, closed, moved, time) and says what to call, hang up and wake for; Discovery only carries them. One wake-up is out at a time.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -32,6 +32,7 @@
 import passhatch.proxy.control.Figures;
 import passhatch.proxy.discovery.Discovery;
 import passhatch.proxy.discovery.EndpointList;
+import passhatch.proxy.discovery.ListWatch;
 import passhatch.proxy.flow.AnswerStream;
 import passhatch.proxy.flow.Relay;
 import passhatch.proxy.flow.RequestBody;
@@ -40,7 +41,7 @@
  * The only caller of the decision module: tells it what happens and does what it asks. It holds the
  * state of the requests taken and sees to it that each gets exactly one final answer in time.
  */
-final class ProxyLoop implements Actions, Discovery.Listener, RequestHandler {
+final class ProxyLoop implements Actions, ListWatch.Listener, RequestHandler {
 
     /**
      * How long before its client's time is up a request ends here: the answer has to travel, and
@@ -117,8 +118,9 @@
         this.discovery =
                 new Discovery(
                         loop,
+                        clock,
                         log,
-                        new Discovery.Source(
+                        new ListWatch.Source(
                                 config.discovery(),
                                 config.known(),
                                 config.settings().watch(),
@@ -196,13 +198,8 @@
     }
 
     @Override
-    public void lost(long heardUsAgo) {
-        tell(
-                null,
-                () -> {
-                    long now = clock.nowUs();
-                    balancer.discoveryFailed(now, now - heardUsAgo);
-                });
+    public void lost(long heardUs) {
+        tell(null, () -> balancer.discoveryFailed(clock.nowUs(), heardUs));
     }
 
     @Override
@@ -211,13 +208,8 @@
     }
 
     @Override
-    public void moved(long heardUsAgo) {
-        tell(
-                null,
-                () -> {
-                    long now = clock.nowUs();
-                    balancer.discoveryMoved(now, now - heardUsAgo);
-                });
+    public void moved(long heardUs) {
+        tell(null, () -> balancer.discoveryMoved(clock.nowUs(), heardUs));
     }
 
     private void learn(EndpointList list) {
--- /dev/null
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -0,0 +1,380 @@
+package passhatch.proxy.discovery;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Decides when discovery is called, what its answers tell, and when a watch counts as broken. A
+ * watch that ends is taken up again from the last version heard; where discovery will not do that,
+ * the whole list is fetched first.
+ *
+ * <p>A state machine without clock, socket or thread: events come in with their time, and what is
+ * to be done goes to a {@link Carrier}. All times are microseconds of one clock.
+ */
+public final class ListWatch {
+
+    /** More bytes than this are no list of backends. */
+    private static final int LONGEST_LIST = 1 << 22;
+
+    private static final int OK = 200;
+
+    /** Below are refusals that say something of the call; above, of discovery's own state. */
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Does what is decided here. */
+    public interface Carrier {
+        /** Opens a connection and asks for a path; the call's events name it by its number. */
+        void call(long call, InetSocketAddress address, String path);
+
+        /** Closes the connection of a call; nothing more of it is to be told. */
+        void hangUp(long call);
+
+        /** Asks for {@link ListWatch#time} at this time or after it. */
+        void wakeAt(long atUs);
+    }
+
+    /** Hears what discovery says. */
+    public interface Listener {
+        /** The list, or changes to it, of which there may be none. */
+        void listed(EndpointList list);
+
+        /**
+         * No watch is alive any more: what changed since it was last heard may have been missed.
+         *
+         * @param heardUs when that was
+         */
+        void lost(long heardUs);
+
+        /** A connection to it stands, whatever comes of it. */
+        void reached();
+
+        /**
+         * It is found at another address from now on.
+         *
+         * @param heardUs when the watch that is given up for it was last heard
+         */
+        void moved(long heardUs);
+    }
+
+    /**
+     * What there is to watch.
+     *
+     * @param known the list that is known already; empty where none is
+     * @param onRequest whether the module says when to ask again after a watch has ended
+     * @param zones names of the zones, by position
+     * @param models names of the machine kinds, by position
+     * @param drainGraceUs how long a server that drains may be sent something, in microseconds
+     */
+    public record Source(
+            InetSocketAddress address,
+            EndpointList known,
+            boolean onRequest,
+            List<String> zones,
+            List<String> models,
+            long drainGraceUs) {}
+
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final Source source;
+    private final Carrier carrier;
+    private final Listener listener;
+    private final Consumer<String> log;
+    private final Pauses pauses;
+    private final WatchBudget budget;
+
+    /** A call that has told nothing for so long is given up. */
+    private long answerWithinMs;
+
+    private long index;
+    private boolean whole;
+    private boolean stopped;
+    private InetSocketAddress address;
+    private long calls;
+    private long callAgainUs = NEVER;
+    private long wakeAtUs = NEVER;
+
+    /** The call that is out; one that was given up for another says nothing any more. */
+    private Call current;
+
+    /** A watch that has not begun; the seed is of the pauses between two calls. */
+    public ListWatch(
+            Source source, long seed, Carrier carrier, Listener listener, Consumer<String> log) {
+        this.source = source;
+        this.carrier = carrier;
+        this.listener = listener;
+        this.log = log;
+        this.address = source.address();
+        this.budget = WatchBudget.of(source.onRequest(), source.drainGraceUs());
+        this.answerWithinMs = budget.firstAnswerMs();
+        this.pauses = new Pauses(budget.longestPauseMs(), seed);
+        this.index = source.known().index();
+        // A list may well have the version 0: a watch from there is one call, a list and a watch
+        // are two.
+        this.whole = index == 0 && source.known().endpoints().isEmpty();
+    }
+
+    /** How long a connection may take to come up, in milliseconds. */
+    public long connectMs() {
+        return budget.connectMs();
+    }
+
+    // ---- events
+
+    /** Goes on at another address; the watch at the old one is given up. */
+    public void moveTo(long nowUs, InetSocketAddress to) {
+        address = to;
+        Call old = current;
+        listener.moved(old == null ? nowUs : old.heardUs);
+        pauses.reset();
+        current = null;
+        watch(nowUs);
+        if (old != null) {
+            carrier.hangUp(old.number);
+        }
+    }
+
+    /** Starts a watch unless one is out; one that ends is taken up again unless the module asks. */
+    public void watch(long nowUs) {
+        if (stopped || current != null) {
+            return;
+        }
+        callAgainUs = NEVER;
+        Call call = new Call(++calls, whole, nowUs);
+        current = call;
+        log.accept("discovery: call from version " + index + " to " + address + " begins");
+        carrier.call(
+                call.number,
+                address,
+                call.fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index);
+        awaitNews(nowUs);
+    }
+
+    /** The connection of a call stands. */
+    public void connected(long call) {
+        if (isCurrent(call)) {
+            listener.reached();
+        }
+    }
+
+    /** The connection of a call failed; its end follows. */
+    public void failed(long call, String why) {
+        if (isCurrent(call)) {
+            current.endReason = why;
+        }
+    }
+
+    /** The head of an answer has come. */
+    public void answered(long nowUs, long call, int status) {
+        if (!isCurrent(call)) {
+            return;
+        }
+        current.ok = status == OK;
+        if (!current.ok) {
+            // It may no longer know the version asked for.
+            whole = status < FIRST_SERVER_ERROR;
+            giveUp(nowUs, "answered " + status);
+        }
+    }
+
+    /** A part of an answer's body has come. */
+    public void body(long nowUs, long call, ByteBuf bytes) {
+        if (isCurrent(call) && current.ok) {
+            current.readAtUs = nowUs;
+            current.values.read(bytes);
+        }
+    }
+
+    /** An answer is whole. */
+    public void answerEnded(long nowUs, long call) {
+        if (isCurrent(call)) {
+            if (current.values.pending()) {
+                current.skipped("it is cut off by the end of the answer");
+            }
+            giveUp(nowUs, "the answer ended");
+        }
+    }
+
+    /** The connection of a call is closed. */
+    public void closed(long nowUs, long call) {
+        if (isCurrent(call)) {
+            ended(nowUs);
+        }
+    }
+
+    /** Does what is due by now. */
+    public void time(long nowUs) {
+        if (wakeAtUs <= nowUs) {
+            wakeAtUs = NEVER;
+        }
+        if (current != null) {
+            awaitNews(nowUs);
+        } else if (callAgainUs <= nowUs) {
+            watch(nowUs);
+        }
+    }
+
+    /** Nothing is called any more. */
+    public void stop() {
+        stopped = true;
+        if (current != null) {
+            carrier.hangUp(current.number);
+            current = null;
+        }
+    }
+
+    // ---- the call that is out
+
+    private boolean isCurrent(long call) {
+        return current != null && current.number == call;
+    }
+
+    /** Bytes that tell nothing are no news, and neither is a list that has begun. */
+    private void awaitNews(long nowUs) {
+        long limitMs = current.heard ? budget.silenceMs() : answerWithinMs;
+        long overUs = current.heardUs + TimeUnit.MILLISECONDS.toMicros(limitMs);
+        if (nowUs < overUs) {
+            wakeAt(overUs);
+        } else {
+            if (current.values.pending()) {
+                current.skipped("it did not end");
+            }
+            giveUp(nowUs, "nothing was told for " + limitMs + " ms");
+        }
+    }
+
+    private void wakeAt(long atUs) {
+        if (atUs < wakeAtUs) {
+            wakeAtUs = atUs;
+            carrier.wakeAt(atUs);
+        }
+    }
+
+    private void giveUp(long nowUs, String why) {
+        current.endReason = why;
+        carrier.hangUp(current.number);
+        ended(nowUs);
+    }
+
+    private void ended(long nowUs) {
+        Call call = current;
+        current = null;
+        if (call.fetched) {
+            watch(nowUs);
+            return;
+        }
+        if (!call.heard && millis(nowUs - call.begunUs) >= answerWithinMs) {
+            answerWithinMs = Math.min(2 * answerWithinMs, budget.longestAnswerMs());
+        }
+        log.accept(
+                "discovery: the watch from index "
+                        + index
+                        + " ended after "
+                        + millis(nowUs - call.begunUs)
+                        + " ms, "
+                        + (call.heard
+                                ? "last heard " + millis(nowUs - call.heardUs) + " ms ago"
+                                : "with nothing heard")
+                        + ": "
+                        + call.endReason
+                        + (call.values.pending() ? ", within an object" : ""));
+        if (!source.onRequest()) {
+            callAgainUs = nowUs + TimeUnit.MILLISECONDS.toMicros(pauses.next());
+            wakeAt(callAgainUs);
+        }
+        // Where discovery has to be asked, the module hears of it and says when to ask again.
+        listener.lost(call.heardUs);
+    }
+
+    private static long millis(long us) {
+        return TimeUnit.MICROSECONDS.toMillis(us);
+    }
+
+    /** One answer of discovery: lists and changes as they come, or one whole list. */
+    private final class Call implements JsonValues.Listener {
+        private final long number;
+        private final boolean fetch;
+        private final JsonValues values = new JsonValues(LONGEST_LIST, this);
+        private final long begunUs;
+        private long readAtUs;
+        private long heardUs;
+        private boolean ok;
+        private boolean heard;
+        private boolean fetched;
+        private boolean skipping;
+        private String endReason = "its connection was closed";
+
+        Call(long number, boolean fetch, long nowUs) {
+            this.number = number;
+            this.fetch = fetch;
+            this.begunUs = nowUs;
+            this.heardUs = nowUs;
+        }
+
+        @Override
+        public void object(String text) {
+            EndpointList list;
+            try {
+                list = EndpointList.of(JSON.std.mapFrom(text), source.zones(), source.models());
+            } catch (IOException | IllegalArgumentException bad) {
+                skipped(bad.getMessage().lines().findFirst().orElse(""));
+                return;
+            }
+            if (!list.whole() && list.index() < index) {
+                // Versions only grow: what was said since would be undone, such as that a server
+                // drains.
+                skipped("its version " + list.index() + " is older than " + index);
+                return;
+            }
+            hear("version " + list.index());
+            skipping = false;
+            index = list.index();
+            whole = false;
+            fetched = fetch;
+            pauses.reset();
+            listener.listed(list);
+        }
+
+        /** Said once a call: a release brings several versions a second. */
+        private void hear(String what) {
+            if (!heard) {
+                log.accept(
+                        "discovery: "
+                                + what
+                                + " heard after "
+                                + millis(readAtUs - begunUs)
+                                + " ms");
+            }
+            heard = true;
+            heardUs = readAtUs;
+            answerWithinMs = budget.firstAnswerMs();
+        }
+
+        /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
+        @Override
+        public void emptyLine() {
+            pauses.reset();
+            boolean first = !heard;
+            hear("no change since version " + index);
+            if (first && !fetch) {
+                listener.listed(new EndpointList(index, false, List.of()));
+            }
+        }
+
+        /**
+         * Where one is broken in the middle, more of its lines may follow: one line in the log
+         * does.
+         */
+        @Override
+        public void skipped(String why) {
+            if (!skipping) {
+                skipping = true;
+                log.accept("discovery: a list is skipped: " + why);
+            }
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/ForwardingTest.java
+++ b/src/test/java/passhatch/proxy/ForwardingTest.java
@@ -27,8 +27,8 @@
 import passhatch.Balancer;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.Http.Message;
-import passhatch.proxy.discovery.Discovery;
 import passhatch.proxy.discovery.EndpointList;
+import passhatch.proxy.discovery.ListWatch;
 
 /** Requests go on to backends unchanged, and are retried only where that is safe. */
 @Timeout(60)
@@ -220,7 +220,7 @@
                                             if (method.equals("request")) {
                                                 actions.send(
                                                         ((Balancer.Request) args[1]).id(), "s", 0);
-                                                ((Discovery.Listener) actions).listed(drains);
+                                                ((ListWatch.Listener) actions).listed(drains);
                                             } else if (method.equals("outcome")) {
                                                 outcomes.add((Outcome) args[4]);
                                                 actions.refuse((String) args[1], 0);
