--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -2,6 +2,7 @@
 
 import passhatch.cli.Commands;
 import passhatch.lab.distribution.DistributionCommand;
+import passhatch.lab.drain.WatchCommand;
 import passhatch.lab.drill.DrillCommand;
 import passhatch.lab.duty.DutyCommand;
 import passhatch.lab.fleet.FleetCommand;
@@ -26,6 +27,7 @@
                         .addSubcommand(FleetCommand.line())
                         .addSubcommand(DutyCommand.line())
                         .addSubcommand(new DistributionCommand())
+                        .addSubcommand(new WatchCommand())
                         .addSubcommand(ScaleCommand.line())
                         .addSubcommand(new StoreBench()));
     }
--- /dev/null
+++ b/src/main/java/passhatch/lab/drain/DrainSimulation.java
@@ -0,0 +1,218 @@
+package passhatch.lab.drain;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import passhatch.lab.Seeds;
+import passhatch.lab.drain.DrainChecker.LateSend;
+import passhatch.lab.sim.EventQueue;
+import passhatch.proxy.discovery.EndpointList;
+
+/**
+ * One run by seed: the real watch, lease and decision module against a discovery that does badly
+ * and servers that drain. What was sent is judged by {@link DrainChecker} from discovery's record.
+ */
+final class DrainSimulation {
+
+    /** A run starts at this time of its clock: times of zero stand for long ago elsewhere. */
+    private static final long START_US = 1_000_000_000_000L;
+
+    private static final long LONGEST_ACCEPTS_US = 30_000_000;
+    private static final long LONGEST_FAULT_US = 12_000_000;
+    private static final long LONGEST_PAUSE_US = 12_000_000;
+    private static final int MOST_MOVES_IN_A_ROW = 4;
+    private static final long MOVES_APART_US = 1_600_000;
+
+    /**
+     * What a run showed.
+     *
+     * @param late requests that were sent too late
+     * @param unheard changes that took a server out of use and counted as told before or without
+     *     being written to the proxy
+     * @param requests of clients
+     * @param sent how many were sent to servers
+     */
+    record Outcome(long seed, List<LateSend> late, int unheard, int requests, int sent) {}
+
+    private final long seed;
+    private final Scenario scenario;
+    private final EventQueue<Runnable> queue = new EventQueue<>(START_US);
+    private final DrainRecord record;
+    private final DiscoveryModel discovery;
+    private final Servers servers = new Servers();
+    private final ProxyModel proxy;
+    private final UniformRandomProvider faults;
+    private final UniformRandomProvider changes;
+    private final UniformRandomProvider load;
+    private final Consumer<String> timeline;
+
+    private DrainSimulation(long seed, Consumer<String> lines) {
+        Seeds seeds = new Seeds(seed);
+        this.seed = seed;
+        this.scenario = Scenario.draw(seeds);
+        this.timeline =
+                text ->
+                        lines.accept(
+                                String.format(
+                                        Locale.ROOT,
+                                        "%7.3f %s",
+                                        (queue.nowUs() - START_US) / 1e6,
+                                        text));
+        this.record =
+                new DrainRecord(
+                        new DrainRecord.Rules(false, scenario.graceUs(), scenario.askEveryUs()));
+        this.discovery = new DiscoveryModel(queue, seeds.stream("discovery"), record, timeline);
+        this.proxy =
+                new ProxyModel(
+                        queue,
+                        seeds.stream("proxy"),
+                        scenario,
+                        record,
+                        discovery,
+                        servers,
+                        timeline);
+        this.faults = seeds.stream("faults");
+        this.changes = seeds.stream("changes");
+        this.load = seeds.stream("load");
+    }
+
+    /** Plays the run of a seed. */
+    static Outcome play(long seed) {
+        return play(seed, line -> {});
+    }
+
+    /** Plays the run of a seed, with a line for each thing that happens. */
+    static Outcome play(long seed, Consumer<String> timeline) {
+        return new DrainSimulation(seed, timeline).run();
+    }
+
+    private Outcome run() {
+        timeline.accept(scenario.toString());
+        for (int i = 0; i < scenario.servers(); i++) {
+            start("s" + i);
+        }
+        proxy.start(scenario, parsed(discovery.text()));
+        queue.scheduleAfter(scenario.quietUs(), this::nextChange);
+        queue.scheduleAfter(scenario.quietUs(), this::nextFault);
+        queue.scheduleAfter(0, this::nextRequest);
+        long endUs = START_US + scenario.durationUs();
+        for (Runnable event = queue.pollUntil(endUs);
+                event != null;
+                event = queue.pollUntil(endUs)) {
+            event.run();
+        }
+        discovery.end();
+        List<LateSend> late = DrainChecker.check(record);
+        late.forEach(l -> timeline.accept("LATE: " + l));
+        return new Outcome(
+                seed, late, DrainChecker.unheard(record), proxy.requests(), proxy.sent());
+    }
+
+    private static EndpointList parsed(String text) {
+        try {
+            return EndpointList.of(JSON.std.mapFrom(text), List.of("a"), List.of("m"));
+        } catch (IOException cannotBe) {
+            throw new UncheckedIOException(cannotBe);
+        }
+    }
+
+    private static long about(UniformRandomProvider random, long meanUs) {
+        return random.nextLong(1, 2 * meanUs);
+    }
+
+    // ---- load
+
+    private void nextRequest() {
+        proxy.request();
+        queue.scheduleAfter(about(load, scenario.requestGapUs()), this::nextRequest);
+    }
+
+    // ---- servers
+
+    private void start(String server) {
+        servers.starts(server);
+        discovery.change(server, "SERVING");
+    }
+
+    private void nextChange() {
+        List<String> up = new ArrayList<>();
+        List<String> down = new ArrayList<>();
+        for (int i = 0; i < scenario.servers(); i++) {
+            (discovery.isUp("s" + i) ? up : down).add("s" + i);
+        }
+        if (up.size() > 1 && (down.isEmpty() || changes.nextInt(3) > 0)) {
+            takeOutOfUse(up.get(changes.nextInt(up.size())));
+        } else {
+            start(down.get(changes.nextInt(down.size())));
+        }
+        queue.scheduleAfter(about(changes, scenario.faultGapUs()), this::nextChange);
+    }
+
+    private void takeOutOfUse(String server) {
+        long acceptsUs = changes.nextBoolean() ? 0 : changes.nextLong(LONGEST_ACCEPTS_US);
+        if (changes.nextInt(4) == 0) {
+            servers.ends(server);
+            discovery.change(server, "DELETED");
+        } else {
+            servers.drains(server, queue.nowUs() + acceptsUs);
+            discovery.change(server, "DRAINING");
+        }
+    }
+
+    // ---- faults
+
+    private void nextFault() {
+        switch (faults.nextInt(8)) {
+            case 0 -> during(DiscoveryModel.Mode.SLOW);
+            case 1 -> during(DiscoveryModel.Mode.CROWDED);
+            case 2 -> during(DiscoveryModel.Mode.DEAF);
+            case 3 -> during(DiscoveryModel.Mode.DOWN);
+            case 4 -> discovery.silenceWatches();
+            case 5 -> pause();
+            case 6 -> move(1 + faults.nextInt(MOST_MOVES_IN_A_ROW));
+            default -> discovery.breakWatches();
+        }
+        if (faults.nextInt(3) == 0) {
+            discovery.breakWatches();
+        }
+        proxy.heldUp(faults.nextBoolean());
+        discovery.telling(
+                scenario.lateUs(),
+                faults.nextBoolean(),
+                faults.nextBoolean() ? 0 : faults.nextInt(1, 5),
+                faults.nextInt(4) == 0);
+        queue.scheduleAfter(about(faults, scenario.faultGapUs()), this::nextFault);
+    }
+
+    private void during(DiscoveryModel.Mode mode) {
+        discovery.mode(mode);
+        queue.scheduleAfter(
+                faults.nextLong(LONGEST_FAULT_US),
+                () -> {
+                    if (discovery.mode() == mode) {
+                        discovery.mode(DiscoveryModel.Mode.WELL);
+                    }
+                });
+    }
+
+    private void pause() {
+        if (proxy.isPaused()) {
+            return;
+        }
+        proxy.pause();
+        queue.scheduleAfter(faults.nextLong(LONGEST_PAUSE_US), proxy::resume);
+    }
+
+    private void move(int left) {
+        discovery.move();
+        proxy.signalMove();
+        if (left > 1) {
+            queue.scheduleAfter(faults.nextLong(MOVES_APART_US), () -> move(left - 1));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -0,0 +1,360 @@
+package passhatch.lab.drain;
+
+import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import passhatch.Balancer;
+import passhatch.Balancer.DedupGroup;
+import passhatch.Balancer.Effect;
+import passhatch.Balancer.Limits;
+import passhatch.Balancer.ListKind;
+import passhatch.Balancer.Outcome;
+import passhatch.Balancer.Prices;
+import passhatch.Balancer.Request;
+import passhatch.Balancer.RequestClass;
+import passhatch.Balancer.Rules;
+import passhatch.Balancer.Tenant;
+import passhatch.Logic;
+import passhatch.SettingsBuilder;
+import passhatch.lab.drain.DrainRecord.Move;
+import passhatch.lab.drain.DrainRecord.Send;
+import passhatch.lab.sim.EventQueue;
+import passhatch.proxy.discovery.EndpointList;
+import passhatch.proxy.discovery.ListWatch;
+
+/**
+ * A proxy in simulated time: the real watch on discovery, lease and decision module, joined as the
+ * network code joins them. It can be paused, and held up before each write.
+ */
+final class ProxyModel implements ListWatch.Listener, Balancer.Actions {
+
+    /** STANDING: a proxy may be held up so long between reading its clock and writing. */
+    private static final long HOLD_UP_US = 150_000;
+
+    /** A timer fires no sooner than this after it is set. */
+    private static final long TIMER_US = 1_000;
+
+    /** A signal is handled within this time. */
+    private static final long SIGNAL_US = 50_000;
+
+    private static final long CONNECTION_LATE_US = 1_500_000;
+    private static final int CONNECTION_LATE_ONE_IN = 10;
+    private static final long SERVICE_US = 50_000;
+
+    private final EventQueue<Runnable> queue;
+    private final UniformRandomProvider random;
+    private final DrainRecord record;
+    private final DiscoveryModel discovery;
+    private final Servers servers;
+    private final Consumer<String> timeline;
+    private final long deadlineUs;
+    private final Map<String, Integer> attempts = new HashMap<>();
+
+    /** What waits while the process is paused: what the sockets bring, then timers. */
+    private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
+
+    private final ArrayDeque<Runnable> timers = new ArrayDeque<>();
+    private long pausedSinceUs = DrainRecord.NEVER;
+
+    /** How long what is read now may have stood unread. */
+    private long unreadUs;
+
+    private boolean heldUp;
+    private ListWatch watch;
+    private Balancer balancer;
+    private long wakeUps;
+    private int requests;
+    private int sent;
+
+    ProxyModel(
+            EventQueue<Runnable> queue,
+            UniformRandomProvider random,
+            Scenario scenario,
+            DrainRecord record,
+            DiscoveryModel discovery,
+            Servers servers,
+            Consumer<String> timeline) {
+        this.queue = queue;
+        this.random = random;
+        this.record = record;
+        this.discovery = discovery;
+        this.servers = servers;
+        this.timeline = timeline;
+        this.deadlineUs = scenario.deadlineUs();
+    }
+
+    /** Starts by a list that it is given. */
+    void start(Scenario scenario, EndpointList known) {
+        balancer = new Logic(settings(scenario), random.nextLong(), this);
+        watch =
+                new ListWatch(
+                        new ListWatch.Source(
+                                discovery.address(),
+                                known,
+                                true,
+                                List.of("a"),
+                                List.of("m"),
+                                scenario.graceUs()),
+                        random.nextLong(),
+                        new Carrier(),
+                        this,
+                        timeline);
+        balancer.serversChanged(queue.nowUs(), ListKind.REMEMBERED, known.servers());
+    }
+
+    private static Balancer.Settings settings(Scenario scenario) {
+        return new SettingsBuilder()
+                .requestClass(
+                        new RequestClass(
+                                "look",
+                                scenario.deadlineUs(),
+                                scenario.deadlineUs(),
+                                1,
+                                0,
+                                Effect.SAFE,
+                                DedupGroup.ALL,
+                                0))
+                .tenant(new Tenant("t", 0))
+                .limits(new Limits(3, true, false, 0, 1))
+                .rules(
+                        new Rules(
+                                scenario.graceUs(),
+                                scenario.askEveryUs(),
+                                0.25,
+                                8_000_000,
+                                2,
+                                1_000_000))
+                .prices(new Prices(0, 0))
+                .watch(true)
+                .build();
+    }
+
+    String name() {
+        return "proxy";
+    }
+
+    int requests() {
+        return requests;
+    }
+
+    int sent() {
+        return sent;
+    }
+
+    // ---- what happens to it
+
+    void pause() {
+        pausedSinceUs = queue.nowUs();
+        timeline.accept("the process is paused");
+    }
+
+    void resume() {
+        unreadUs = queue.nowUs() - pausedSinceUs;
+        pausedSinceUs = DrainRecord.NEVER;
+        timeline.accept("the process goes on after " + unreadUs / 1_000 + " ms");
+        drain(unread);
+        unreadUs = 0;
+        drain(timers);
+    }
+
+    private static void drain(ArrayDeque<Runnable> waiting) {
+        for (int left = waiting.size(); left > 0; left--) {
+            waiting.poll().run();
+        }
+    }
+
+    boolean isPaused() {
+        return pausedSinceUs != DrainRecord.NEVER;
+    }
+
+    void heldUp(boolean on) {
+        heldUp = on;
+    }
+
+    /** Its configuration names another address, and a signal says so. */
+    void signalMove() {
+        record.add(new Move(queue.nowUs(), name()));
+        timeline.accept("signal: discovery has moved");
+        InetSocketAddress to = discovery.address();
+        queue.scheduleAfter(
+                random.nextLong(SIGNAL_US), () -> onTime(() -> watch.moveTo(queue.nowUs(), to)));
+    }
+
+    /** A client's request comes. */
+    void request() {
+        String id = "r" + requests++;
+        onRead(() -> balancer.request(queue.nowUs(), new Request(id, 0, 0, deadlineUs, 0, false)));
+    }
+
+    private void onRead(Runnable what) {
+        if (isPaused()) {
+            unread.add(what);
+        } else {
+            what.run();
+        }
+    }
+
+    private void onTime(Runnable what) {
+        if (isPaused()) {
+            timers.add(what);
+        } else {
+            what.run();
+        }
+    }
+
+    // ---- what discovery's connections bring
+
+    void connected(long call) {
+        onRead(() -> watch.connected(call));
+    }
+
+    void answered(long call, int status) {
+        onRead(() -> watch.answered(queue.nowUs(), call, status));
+    }
+
+    void body(long call, String text) {
+        onRead(
+                () ->
+                        watch.body(
+                                queue.nowUs(),
+                                call,
+                                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
+    }
+
+    void closed(long call, String why) {
+        onRead(
+                () -> {
+                    watch.failed(call, why);
+                    watch.closed(queue.nowUs(), call);
+                });
+    }
+
+    // ---- the watch
+
+    /** Connections to discovery, and the watch's own timer. */
+    private final class Carrier implements ListWatch.Carrier {
+        @Override
+        public void call(long call, InetSocketAddress address, String path) {
+            queue.scheduleAfter(0, () -> discovery.called(ProxyModel.this, call, address, path));
+        }
+
+        @Override
+        public void hangUp(long call) {
+            queue.scheduleAfter(0, () -> discovery.hungUp(call));
+        }
+
+        @Override
+        public void wakeAt(long atUs) {
+            atTimer(atUs, () -> watch.time(queue.nowUs()));
+        }
+    }
+
+    private void atTimer(long atUs, Runnable what) {
+        queue.scheduleAt(Math.max(atUs, queue.nowUs() + TIMER_US), () -> onTime(what));
+    }
+
+    @Override
+    public void listed(EndpointList list) {
+        timeline.accept("the proxy has version " + list.index());
+        balancer.serversChanged(
+                queue.nowUs(), list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers());
+    }
+
+    @Override
+    public void lost(long heardUs) {
+        balancer.discoveryFailed(queue.nowUs(), heardUs);
+    }
+
+    @Override
+    public void reached() {
+        balancer.discoveryReached();
+    }
+
+    @Override
+    public void moved(long heardUs) {
+        balancer.discoveryMoved(queue.nowUs(), heardUs);
+    }
+
+    // ---- the decision module
+
+    @Override
+    public void send(String request, String server, long timeoutUs) {
+        int attempt = attempts.merge(request, 1, Integer::sum) - 1;
+        boolean late = random.nextInt(CONNECTION_LATE_ONE_IN) == 0;
+        queue.scheduleAfter(
+                late ? random.nextLong(CONNECTION_LATE_US) : 0,
+                () -> onTime(() -> write(request, attempt, server)));
+    }
+
+    /** Its connection is up: asked once more, it is written, some time later where held up. */
+    private void write(String request, int attempt, String server) {
+        if (!balancer.mayReach(queue.nowUs(), server)) {
+            ended(request, attempt, server, Outcome.NOT_SENT);
+            return;
+        }
+        sent++;
+        long heldUpUs = heldUp ? random.nextLong(HOLD_UP_US) : 0;
+        queue.scheduleAfter(
+                heldUpUs,
+                () -> {
+                    record.add(new Send(queue.nowUs(), name(), server));
+                    Outcome outcome = servers.take(server, queue.nowUs());
+                    queue.scheduleAfter(
+                            1 + random.nextLong(SERVICE_US),
+                            () -> onRead(() -> ended(request, attempt, server, outcome)));
+                });
+    }
+
+    private void ended(String request, int attempt, String server, Outcome outcome) {
+        balancer.outcome(
+                queue.nowUs(),
+                request,
+                attempt,
+                server,
+                outcome,
+                SERVICE_US,
+                outcome == Outcome.OK,
+                null);
+    }
+
+    /** The module asks for a time only where it is earlier than what it asked for before. */
+    @Override
+    public void wakeAt(long atUs) {
+        long number = ++wakeUps;
+        atTimer(
+                atUs,
+                () -> {
+                    if (number == wakeUps) {
+                        balancer.timer(queue.nowUs());
+                    }
+                });
+    }
+
+    @Override
+    public void watchServers() {
+        watch.watch(queue.nowUs());
+    }
+
+    @Override
+    public void log(String text) {
+        timeline.accept(text);
+    }
+
+    @Override
+    public void refuse(String request, long retryAfterUs) {}
+
+    @Override
+    public void fail(String request) {}
+
+    @Override
+    public void cancel(String request, int attempt) {}
+
+    @Override
+    public void probe(String server) {}
+}
--- /dev/null
+++ b/src/main/java/passhatch/lab/drain/Servers.java
@@ -0,0 +1,35 @@
+package passhatch.lab.drain;
+
+import java.util.HashMap;
+import java.util.Map;
+import passhatch.Balancer.Outcome;
+
+/** The servers in simulated time: one that drains may go on accepting for a while. */
+final class Servers {
+
+    private final Map<String, Long> acceptsUntilUs = new HashMap<>();
+    private final Map<String, Boolean> runs = new HashMap<>();
+
+    void starts(String server) {
+        runs.put(server, true);
+        acceptsUntilUs.remove(server);
+    }
+
+    void drains(String server, long acceptsUntilUs) {
+        this.acceptsUntilUs.put(server, acceptsUntilUs);
+    }
+
+    void ends(String server) {
+        runs.put(server, false);
+    }
+
+    /** What becomes of a request. */
+    Outcome take(String server, long nowUs) {
+        if (!runs.getOrDefault(server, false)) {
+            return Outcome.CONNECT_FAILED;
+        }
+        return nowUs < acceptsUntilUs.getOrDefault(server, Long.MAX_VALUE)
+                ? Outcome.OK
+                : Outcome.FULL;
+    }
+}
