Do not take a whole list of an older version: it undoes drains told since

Callers were sent to a server that was known to drain after discovery had told a whole list of some versions ago: versions were compared for changes only. Such a list is skipped, and the call given up, as a discovery that is behind confirms nothing by what it says next.

--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -317,6 +317,9 @@
 
         @Override
         public void object(String text) {
+            if (this != current) {
+                return;
+            }
             EndpointList list;
             try {
                 list = EndpointList.of(JSON.std.mapFrom(text), source.zones(), source.models());
@@ -324,10 +327,13 @@
                 skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
-            if (!list.whole() && list.index() < index) {
+            if (list.index() < index) {
                 // Versions only grow: what was said since would be undone, such as that a server
                 // drains.
                 skipped("its version " + list.index() + " is older than " + index);
+                if (list.whole()) {
+                    giveUp(readAtUs, "it is behind");
+                }
                 return;
             }
             hear("version " + list.index());
@@ -357,6 +363,9 @@
         /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
         @Override
         public void emptyLine() {
+            if (this != current) {
+                return;
+            }
             pauses.reset();
             boolean first = !heard;
             hear("no change since version " + index);
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import passhatch.lab.standin.BackendServer;
@@ -145,4 +146,15 @@
         serveFor(TOLD_AFTER_MS + BEYOND_MS);
         assertEquals(0, field.ledger.drainBroken());
     }
+
+    @Test
+    void aWholeListOfAnOlderVersionDoesNotBringADrainingServerBack() throws Exception {
+        assertEquals(200, ask());
+        String older = new ObjectMapper().writeValueAsString(field.discovery.snapshot());
+        drainAcceptingUntold(0);
+        await("the drain", () -> proxy.ask("vars").contains("hosts_down 1"));
+        field.discovery.say(older);
+        serveFor(BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+    }
 }
--- /dev/null
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -0,0 +1,107 @@
+package passhatch.proxy.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What the watch makes of what discovery says, with time set by hand. */
+final class ListWatchTest {
+
+    private static final long MS = 1_000;
+    private static final long S = 1_000 * MS;
+    private static final EndpointList KNOWN = new EndpointList(7, true, List.of());
+
+    private final List<String> called = new ArrayList<>();
+    private final List<Long> hungUp = new ArrayList<>();
+    private final List<EndpointList> listed = new ArrayList<>();
+    private final List<String> log = new ArrayList<>();
+    private long now = 100 * S;
+    private long call;
+
+    private final ListWatch watch =
+            new ListWatch(
+                    new ListWatch.Source(
+                            new InetSocketAddress(0),
+                            KNOWN,
+                            true,
+                            List.of("a"),
+                            List.of("m"),
+                            750 * MS),
+                    1,
+                    new Carrier(),
+                    new Heard(),
+                    log::add);
+
+    private final class Carrier implements ListWatch.Carrier {
+        @Override
+        public void call(long number, InetSocketAddress address, String path) {
+            call = number;
+            called.add(path);
+        }
+
+        @Override
+        public void hangUp(long number) {
+            hungUp.add(number);
+        }
+
+        @Override
+        public void wakeAt(long atUs) {}
+    }
+
+    private final class Heard implements ListWatch.Listener {
+        @Override
+        public void listed(EndpointList list) {
+            listed.add(list);
+        }
+
+        @Override
+        public void lost(long heardUs) {}
+
+        @Override
+        public void reached() {}
+
+        @Override
+        public void moved(long heardUs) {}
+    }
+
+    private void begin() {
+        watch.watch(now);
+        watch.connected(call);
+        watch.answered(now, call, 200);
+    }
+
+    private void say(String line) {
+        watch.body(now, call, Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
+    }
+
+    private static String message(int index, boolean whole, String... entries) {
+        return "{\"index\":%d,\"snapshot\":%b,\"endpoints\":[%s]}"
+                .formatted(index, whole, String.join(",", entries));
+    }
+
+    private static String entry(String name, String status) {
+        return ("{\"name\":\"%s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"type\":\"m\","
+                        + "\"group\":0,\"status\":\"%s\",\"weight\":1.0,\"since_ms\":0}")
+                .formatted(name, status);
+    }
+
+    @Test
+    void aWholeListOfAnOlderVersionUndoesNoDrain() {
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        say(message(9, false, entry("s", "DRAINING")));
+        say(message(8, true, entry("s", "SERVING")));
+        assertEquals(2, listed.size());
+        assertTrue(hungUp.contains(1L), "a discovery that is behind is listened to");
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        assertEquals(2, listed.size());
+        assertEquals("/v1/endpoints?watch=1&from=9", called.get(1));
+    }
+}
