End only the call that is given up, also where its connection closes at once

With the state machine a call that was given up ended twice where its connection closed within the call that closes it, as Netty's does: the second end was that of the call begun meanwhile. After a fetched list the watch was so cut off at once and taken up a quarter of a second later, and a failed call counted twice for the pauses. The unit test's carrier closes at once now, and a test counts the ends: two where there was one.

--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -255,9 +255,10 @@
     }
 
     private void giveUp(long nowUs, String why) {
+        long number = current.number;
         current.endReason = why;
-        carrier.hangUp(current.number);
         ended(nowUs);
+        carrier.hangUp(number);
     }
 
     private void ended(long nowUs) {
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -21,6 +21,7 @@
     private final List<Long> hungUp = new ArrayList<>();
     private final List<EndpointList> listed = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
+    private int lost;
     private long now = 100 * S;
     private long call;
 
@@ -48,6 +49,7 @@
         @Override
         public void hangUp(long number) {
             hungUp.add(number);
+            watch.closed(now, number);
         }
 
         @Override
@@ -61,7 +63,9 @@
         }
 
         @Override
-        public void lost(long heardUs) {}
+        public void lost(long heardUs) {
+            lost++;
+        }
 
         @Override
         public void reached() {}
@@ -104,4 +108,17 @@
         assertEquals(2, listed.size());
         assertEquals("/v1/endpoints?watch=1&from=9", called.get(1));
     }
+
+    /** A connection may be closed within the call that closes it. */
+    @Test
+    void aCallThatIsGivenUpEndsOnceAndNotTheOneThatFollowsIt() {
+        begin();
+        say(message(8, true));
+        watch.answerEnded(now, call);
+        assertEquals(1, lost);
+        begin();
+        now += 3 * S;
+        watch.time(now);
+        assertEquals(2, lost);
+    }
 }
