Ask again at once after a change that came broken, and count it as told since it began

Callers were sent to a draining server whose drain discovery had written, cut within a text: the object was passed over, and the empty lines after it confirmed the list that lacked it. Discovery was not asked again, and half of the requests went to that server.

A watch on which something cannot be read is given up at once and taken up from the version before it; nothing that comes on it later counts. The list goes out of use when the grace from the object's first byte is over, unless it is confirmed before, and so it does for one that began and does not end. A change of an older version counts as one that was missed, too: the whole list is fetched.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -349,6 +349,14 @@
      */
     void discoveryFailed(long nowUs, long heardUs);
 
+    /**
+     * Discovery has begun to tell something that is not taken in, and may never be: it counts as
+     * told until the list is confirmed again.
+     *
+     * @param sinceUs when it began
+     */
+    void listPending(long sinceUs);
+
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -31,10 +31,13 @@
     /** As the time of what has not happened. */
     private static final long NEVER = Long.MIN_VALUE;
 
+    private static final long NOTHING_PENDING = Long.MAX_VALUE;
+
     private final long graceUs;
     private boolean alive;
     private long currentAtUs = NEVER;
     private long grantedAtUs = Long.MAX_VALUE;
+    private long pendingSinceUs = NOTHING_PENDING;
 
     /** When what is found after each move counts as told, oldest first; without those passed. */
     private final ArrayDeque<Long> movesToldAtUs = new ArrayDeque<>();
@@ -68,9 +71,15 @@
     /** Discovery has told the list, or changes to it, and goes on telling. */
     void confirmed(long nowUs) {
         alive = true;
+        pendingSinceUs = NOTHING_PENDING;
         currentAsOf(nowUs);
     }
 
+    /** Something was begun to be told at this time that is not taken in: it counts as told. */
+    void pending(long sinceUs) {
+        pendingSinceUs = Math.min(pendingSinceUs, sinceUs);
+    }
+
     /** Changes may be missed that were made after this time. */
     void lost(long heardUs) {
         if (alive) {
@@ -99,12 +108,17 @@
 
     /** Whether servers may be sent requests by the list. */
     boolean usable(long nowUs) {
-        return alive || nowUs < usableUntilUs(nowUs);
+        return nowUs < lastSendUs(pendingSinceUs) && (alive || nowUs < usableUntilUs(nowUs));
     }
 
     private long usableUntilUs(long nowUs) {
         long fromUs = currentAtUs == NEVER ? grantedAtUs : currentAtUs;
-        return fromUs > nowUs ? NEVER : toldAtUs(fromUs) + graceUs - 2 * HOLD_UP_US;
+        return fromUs > nowUs ? NEVER : lastSendUs(toldAtUs(fromUs));
+    }
+
+    /** By when a request has to be decided on for a server that counts as told to drain. */
+    private long lastSendUs(long toldAtUs) {
+        return toldAtUs == NOTHING_PENDING ? toldAtUs : toldAtUs + graceUs - 2 * HOLD_UP_US;
     }
 
     /** When the first change after this time may count as told. */
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -340,6 +340,11 @@
         advance(nowUs);
     }
 
+    @Override
+    public void listPending(long sinceUs) {
+        lease.pending(sinceUs);
+    }
+
     @Override
     public void discoveryReached() {
         lease.reached();
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -266,6 +266,11 @@
                 queue.nowUs(), list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers());
     }
 
+    @Override
+    public void pending(long sinceUs) {
+        balancer.listPending(sinceUs);
+    }
+
     @Override
     public void lost(long heardUs) {
         balancer.discoveryFailed(queue.nowUs(), heardUs);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -197,6 +197,11 @@
                                 list.servers()));
     }
 
+    @Override
+    public void pending(long sinceUs) {
+        tell(null, () -> balancer.listPending(sinceUs));
+    }
+
     @Override
     public void lost(long heardUs) {
         tell(null, () -> balancer.discoveryFailed(clock.nowUs(), heardUs));
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -43,6 +43,13 @@
         /** The list, or changes to it, of which there may be none. */
         void listed(EndpointList list);
 
+        /**
+         * Something was begun to be told that is not taken in; it may never be.
+         *
+         * @param sinceUs when that was
+         */
+        void pending(long sinceUs);
+
         /**
          * No watch is alive any more: what changed since it was last heard may have been missed.
          *
@@ -184,8 +191,7 @@
     /** A part of an answer's body has come. */
     public void body(long nowUs, long call, ByteBuf bytes) {
         if (isCurrent(call) && current.ok) {
-            current.readAtUs = nowUs;
-            current.values.read(bytes);
+            current.read(nowUs, bytes);
         }
     }
 
@@ -194,8 +200,9 @@
         if (isCurrent(call)) {
             if (current.values.pending()) {
                 current.skipped("it is cut off by the end of the answer");
+            } else {
+                giveUp(nowUs, "the answer ended");
             }
-            giveUp(nowUs, "the answer ended");
         }
     }
 
@@ -239,10 +246,9 @@
         long overUs = current.heardUs + TimeUnit.MILLISECONDS.toMicros(limitMs);
         if (nowUs < overUs) {
             wakeAt(overUs);
+        } else if (current.values.pending()) {
+            current.skipped("it did not end");
         } else {
-            if (current.values.pending()) {
-                current.skipped("it did not end");
-            }
             giveUp(nowUs, "nothing was told for " + limitMs + " ms");
         }
     }
@@ -302,11 +308,12 @@
         private final JsonValues values = new JsonValues(LONGEST_LIST, this);
         private final long begunUs;
         private long readAtUs;
+        private long objectBegunUs;
+        private boolean pendingSaid;
         private long heardUs;
         private boolean ok;
         private boolean heard;
         private boolean fetched;
-        private boolean skipping;
         private String endReason = "its connection was closed";
 
         Call(long number, boolean fetch, long nowUs) {
@@ -316,6 +323,19 @@
             this.heardUs = nowUs;
         }
 
+        void read(long nowUs, ByteBuf bytes) {
+            readAtUs = nowUs;
+            if (!values.pending()) {
+                objectBegunUs = nowUs;
+                pendingSaid = false;
+            }
+            values.read(bytes);
+            if (this == current && values.pending() && !pendingSaid) {
+                pendingSaid = true;
+                listener.pending(objectBegunUs);
+            }
+        }
+
         @Override
         public void object(String text) {
             if (this != current) {
@@ -331,14 +351,10 @@
             if (list.index() < index) {
                 // Versions only grow: what was said since would be undone, such as that a server
                 // drains.
-                skipped("its version " + list.index() + " is older than " + index);
-                if (list.whole()) {
-                    giveUp(readAtUs, "it is behind");
-                }
+                older(list);
                 return;
             }
             hear("version " + list.index());
-            skipping = false;
             index = list.index();
             whole = false;
             fetched = fetch;
@@ -375,15 +391,27 @@
             }
         }
 
+        private void older(EndpointList list) {
+            String why = "its version " + list.index() + " is older than " + index;
+            if (list.whole()) {
+                log.accept("discovery: a list is skipped: " + why);
+                giveUp(readAtUs, "it is behind");
+            } else {
+                // Whatever else it says was never told.
+                whole = true;
+                skipped(why);
+            }
+        }
+
         /**
-         * Where one is broken in the middle, more of its lines may follow: one line in the log
-         * does.
+         * What was told and cannot be read is asked for again: nothing after it makes up for it.
          */
         @Override
         public void skipped(String why) {
-            if (!skipping) {
-                skipping = true;
+            if (this == current) {
                 log.accept("discovery: a list is skipped: " + why);
+                listener.pending(objectBegunUs);
+                giveUp(readAtUs, "a list was skipped");
             }
         }
     }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -177,4 +177,16 @@
         assertTrue(lease.usable(6_000 * MS));
         assertFalse(lease.usable((TOLD_MS + GRACE_MS) * MS));
     }
+
+    @Test
+    void whatWasBegunToBeToldAndNotTakenInCountsAsToldSinceThen() {
+        ListLease lease = new ListLease(GRACE_MS * MS);
+        lease.confirmed(0);
+        lease.pending(1_000 * MS);
+        lease.pending(1_100 * MS);
+        assertTrue(lease.usable(1_100 * MS));
+        assertFalse(lease.usable((1_000 + GRACE_MS) * MS));
+        lease.confirmed(2_000 * MS);
+        assertTrue(lease.usable(2_000 * MS));
+    }
 }
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -157,4 +157,15 @@
         serveFor(BEYOND_MS);
         assertEquals(0, field.ledger.drainBroken());
     }
+
+    @Test
+    void aChangeThatCameBrokenIsNotConfirmedByTheEmptyLinesAfterIt() throws Exception {
+        assertEquals(200, ask());
+        fault("do = 'tell_late', by = '1h'");
+        drainAcceptingUntold(0);
+        field.discovery.say("{\"index\":2,\"snapshot\":false,\"endpoints\":[{\"name\":\"back");
+        serveFor(EMPTY_LINE_EVERY_MS + BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+        await("the drain", () -> proxy.ask("vars").contains("hosts_down 1"));
+    }
 }
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -20,6 +20,7 @@
     private final List<String> called = new ArrayList<>();
     private final List<Long> hungUp = new ArrayList<>();
     private final List<EndpointList> listed = new ArrayList<>();
+    private final List<Long> pending = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
     private int lost;
     private long now = 100 * S;
@@ -62,6 +63,11 @@
             listed.add(list);
         }
 
+        @Override
+        public void pending(long sinceUs) {
+            pending.add(sinceUs);
+        }
+
         @Override
         public void lost(long heardUs) {
             lost++;
@@ -109,6 +115,48 @@
         assertEquals("/v1/endpoints?watch=1&from=9", called.get(1));
     }
 
+    @Test
+    void aChangeThatCameBrokenIsAskedForAgainAndNothingAfterItConfirmsTheList() {
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        now += 5 * S;
+        say("{\"index\":9,\"snapshot\":false,\"endpoints\":[{\"name\":\"s");
+        say(message(10, false, entry("t", "SERVING")));
+        say("");
+        assertEquals(1, listed.size());
+        assertEquals(List.of(now), pending);
+        assertTrue(hungUp.contains(1L), "the watch goes on");
+        begin();
+        assertEquals("/v1/endpoints?watch=1&from=8", called.get(1));
+    }
+
+    @Test
+    void aChangeThatHasBegunCountsAsToldSinceThen() {
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        now += S;
+        say("{\"index\":9,");
+        long begunUs = now;
+        now += S;
+        say("\"snapshot\":false,");
+        assertEquals(List.of(begunUs), pending);
+        say("\"endpoints\":[" + entry("s", "DRAINING") + "]}");
+        assertEquals(2, listed.size());
+    }
+
+    /** What the older one says of other servers is nowhere else. */
+    @Test
+    void afterAChangeOfAnOlderVersionTheWholeListIsFetched() {
+        begin();
+        say(message(8, true, entry("s", "SERVING"), entry("t", "SERVING")));
+        say(message(10, false, entry("t", "DRAINING")));
+        say(message(9, false, entry("s", "DRAINING")));
+        assertEquals(2, listed.size());
+        assertEquals(List.of(now), pending);
+        begin();
+        assertEquals("/v1/endpoints", called.get(1));
+    }
+
     /** A connection may be closed within the call that closes it. */
     @Test
     void aCallThatIsGivenUpEndsOnceAndNotTheOneThatFollowsIt() {
