Hold a watch for alive only as long as its silence allows, by the time of its last word

A process that was paused took its list for current until a timer of its own fired: what it read first after the pause was sent by a list of any age. Each word of discovery now says as of when the list is current and until when its watch counts as alive without another, and the lease keeps both times; a lost watch and a move need no times any more. The unit test of a proxy that decides 6.5 s after the last word cannot be put to the code before, which had no such times; there the watch was alive until told otherwise.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -71,6 +71,15 @@
         GONE
     }
 
+    /**
+     * How current a list of servers is.
+     *
+     * @param asOfUs every change that discovery had at this time is in it
+     * @param watchedUntilUs changes are told as they come up to this time, unless the watch breaks
+     *     before
+     */
+    record ListCurrency(long asOfUs, long watchedUntilUs) {}
+
     /** What a list of servers is. */
     enum ListKind {
         /** Changes to the list held, of which there may be none. */
@@ -338,16 +347,24 @@
      * The list of servers, or changes to it. The first call after construction has the list from
      * before: nothing is sent by one that is {@link ListKind#REMEMBERED} before discovery has told
      * the list, or changes to it.
+     *
+     * @param currency how current the list is with it; unused for one from before
      */
-    void serversChanged(long nowUs, ListKind kind, List<Server> servers);
+    void serversChanged(long nowUs, ListKind kind, List<Server> servers, ListCurrency currency);
+
+    /** The same on a wire that tells changes at once and says when its subscription breaks. */
+    default void serversChanged(long nowUs, ListKind kind, List<Server> servers) {
+        serversChanged(nowUs, kind, servers, new ListCurrency(nowUs, Long.MAX_VALUE));
+    }
+
+    /** Discovery has said that the list did not change. */
+    void listCurrent(long nowUs, ListCurrency currency);
 
     /**
      * A call to discovery failed or its subscription broke; the list held stays in force until the
      * first change that it may lack counts as told.
-     *
-     * @param heardUs when discovery was last heard: later changes may have been missed
      */
-    void discoveryFailed(long nowUs, long heardUs);
+    void discoveryFailed(long nowUs);
 
     /**
      * Discovery has begun to tell something that is not taken in, and may never be: it counts as
@@ -360,12 +377,8 @@
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
-    /**
-     * Discovery is found at another address from now on.
-     *
-     * @param heardUs when it was last heard at the old one
-     */
-    void discoveryMoved(long nowUs, long heardUs);
+    /** Discovery is found at another address from now on. */
+    void discoveryMoved(long nowUs);
 
     /** Whether a server may be sent something now; to be asked just before each write. */
     boolean mayReach(long nowUs, String server);
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -1,6 +1,7 @@
 package passhatch;
 
 import java.util.ArrayDeque;
+import passhatch.Balancer.ListCurrency;
 
 /**
  * Until when servers may be sent requests by a list that discovery no longer confirms. A change
@@ -34,7 +35,7 @@
     private static final long NOTHING_PENDING = Long.MAX_VALUE;
 
     private final long graceUs;
-    private boolean alive;
+    private long watchedUntilUs = NEVER;
     private long currentAtUs = NEVER;
     private long grantedAtUs = Long.MAX_VALUE;
     private long pendingSinceUs = NOTHING_PENDING;
@@ -68,11 +69,11 @@
         currentAtUs = nowUs;
     }
 
-    /** Discovery has told the list, or changes to it, and goes on telling. */
-    void confirmed(long nowUs) {
-        alive = true;
+    /** Discovery has told the list or changes to it, or that there are none. */
+    void current(ListCurrency currency) {
+        watchedUntilUs = currency.watchedUntilUs();
         pendingSinceUs = NOTHING_PENDING;
-        currentAsOf(nowUs);
+        currentAsOf(currency.asOfUs());
     }
 
     /** Something was begun to be told at this time that is not taken in: it counts as told. */
@@ -80,35 +81,33 @@
         pendingSinceUs = Math.min(pendingSinceUs, sinceUs);
     }
 
-    /** Changes may be missed that were made after this time. */
-    void lost(long heardUs) {
-        if (alive) {
-            alive = false;
-            currentAsOf(heardUs);
+    /** No watch is alive any more: changes may be missed. */
+    void lost(long nowUs) {
+        if (watchedUntilUs == Long.MAX_VALUE) {
+            // All up to now was told, as by a wire that says itself when it breaks.
+            currentAsOf(nowUs);
         }
+        watchedUntilUs = NEVER;
     }
 
     /** What counted as told by then is in the list. */
     private void currentAsOf(long timeUs) {
-        currentAtUs = timeUs;
+        currentAtUs = Math.max(currentAtUs, timeUs);
         while (!movesToldAtUs.isEmpty() && movesToldAtUs.peek() <= timeUs) {
             movesToldAtUs.poll();
         }
     }
 
-    /**
-     * Discovery is asked at another address from now on; each move counts by itself.
-     *
-     * @param heardUs when it was last heard at the old one
-     */
-    void moved(long nowUs, long heardUs) {
-        lost(heardUs);
+    /** Discovery is asked at another address from now on; each move counts by itself. */
+    void moved(long nowUs) {
+        lost(nowUs);
         movesToldAtUs.add(nowUs + MOVE_TOLD_WITHIN_US);
     }
 
     /** Whether servers may be sent requests by the list. */
     boolean usable(long nowUs) {
-        return nowUs < lastSendUs(pendingSinceUs) && (alive || nowUs < usableUntilUs(nowUs));
+        return nowUs < lastSendUs(pendingSinceUs)
+                && (nowUs < watchedUntilUs || nowUs < usableUntilUs(nowUs));
     }
 
     private long usableUntilUs(long nowUs) {
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -162,11 +162,11 @@
     // ---- the list of servers
 
     @Override
-    public void serversChanged(long nowUs, ListKind kind, List<Server> list) {
+    public void serversChanged(long nowUs, ListKind kind, List<Server> list, ListCurrency currency) {
         switch (kind) {
             case REMEMBERED -> lease.remembered(nowUs);
             case RECENT -> lease.recent(nowUs);
-            default -> lease.confirmed(nowUs);
+            default -> lease.current(currency);
         }
         if (kind != ListKind.CHANGES) {
             for (Backend s : servers) {
@@ -328,8 +328,8 @@
     }
 
     @Override
-    public void discoveryFailed(long nowUs, long heardUs) {
-        lease.lost(heardUs);
+    public void discoveryFailed(long nowUs) {
+        lease.lost(nowUs);
         if (!settings.watch()) {
             return;
         }
@@ -340,6 +340,12 @@
         advance(nowUs);
     }
 
+    @Override
+    public void listCurrent(long nowUs, ListCurrency currency) {
+        lease.current(currency);
+        advance(nowUs);
+    }
+
     @Override
     public void listPending(long sinceUs) {
         lease.pending(sinceUs);
@@ -351,8 +357,8 @@
     }
 
     @Override
-    public void discoveryMoved(long nowUs, long heardUs) {
-        lease.moved(nowUs, heardUs);
+    public void discoveryMoved(long nowUs) {
+        lease.moved(nowUs);
     }
 
     @Override
--- a/src/main/java/passhatch/adapter/Wire.java
+++ b/src/main/java/passhatch/adapter/Wire.java
@@ -195,7 +195,7 @@
         Balancer balancer = instance.balancer();
         String mode = e.required(e.mode, "mode");
         if (mode.equals("refused")) {
-            balancer.discoveryFailed(now, now);
+            balancer.discoveryFailed(now);
             return;
         }
         ListKind kind =
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -13,6 +13,7 @@
 import passhatch.Balancer.DedupGroup;
 import passhatch.Balancer.Effect;
 import passhatch.Balancer.Limits;
+import passhatch.Balancer.ListCurrency;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Prices;
@@ -260,10 +261,18 @@
     }
 
     @Override
-    public void listed(EndpointList list) {
+    public void listed(EndpointList list, ListCurrency currency) {
         timeline.accept("the proxy has version " + list.index());
         balancer.serversChanged(
-                queue.nowUs(), list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers());
+                queue.nowUs(),
+                list.whole() ? ListKind.WHOLE : ListKind.CHANGES,
+                list.servers(),
+                currency);
+    }
+
+    @Override
+    public void unchanged(ListCurrency currency) {
+        balancer.listCurrent(queue.nowUs(), currency);
     }
 
     @Override
@@ -272,8 +281,8 @@
     }
 
     @Override
-    public void lost(long heardUs) {
-        balancer.discoveryFailed(queue.nowUs(), heardUs);
+    public void lost() {
+        balancer.discoveryFailed(queue.nowUs());
     }
 
     @Override
@@ -282,8 +291,8 @@
     }
 
     @Override
-    public void moved(long heardUs) {
-        balancer.discoveryMoved(queue.nowUs(), heardUs);
+    public void moved() {
+        balancer.discoveryMoved(queue.nowUs());
     }
 
     // ---- the decision module
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -13,6 +13,7 @@
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.Effect;
+import passhatch.Balancer.ListCurrency;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
@@ -185,7 +186,7 @@
     }
 
     @Override
-    public void listed(EndpointList list) {
+    public void listed(EndpointList list, ListCurrency currency) {
         learn(list);
         listed = true;
         tell(
@@ -194,7 +195,13 @@
                         balancer.serversChanged(
                                 clock.nowUs(),
                                 list.whole() ? ListKind.WHOLE : ListKind.CHANGES,
-                                list.servers()));
+                                list.servers(),
+                                currency));
+    }
+
+    @Override
+    public void unchanged(ListCurrency currency) {
+        tell(null, () -> balancer.listCurrent(clock.nowUs(), currency));
     }
 
     @Override
@@ -203,8 +210,8 @@
     }
 
     @Override
-    public void lost(long heardUs) {
-        tell(null, () -> balancer.discoveryFailed(clock.nowUs(), heardUs));
+    public void lost() {
+        tell(null, () -> balancer.discoveryFailed(clock.nowUs()));
     }
 
     @Override
@@ -213,8 +220,8 @@
     }
 
     @Override
-    public void moved(long heardUs) {
-        tell(null, () -> balancer.discoveryMoved(clock.nowUs(), heardUs));
+    public void moved() {
+        tell(null, () -> balancer.discoveryMoved(clock.nowUs()));
     }
 
     private void learn(EndpointList list) {
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import passhatch.Balancer.ListCurrency;
 
 /**
  * Decides when discovery is called, what its answers tell, and when a watch counts as broken. A
@@ -41,7 +42,10 @@
     /** Hears what discovery says. */
     public interface Listener {
         /** The list, or changes to it, of which there may be none. */
-        void listed(EndpointList list);
+        void listed(EndpointList list, ListCurrency currency);
+
+        /** A watch with nothing to tell has said so. */
+        void unchanged(ListCurrency currency);
 
         /**
          * Something was begun to be told that is not taken in; it may never be.
@@ -50,22 +54,14 @@
          */
         void pending(long sinceUs);
 
-        /**
-         * No watch is alive any more: what changed since it was last heard may have been missed.
-         *
-         * @param heardUs when that was
-         */
-        void lost(long heardUs);
+        /** No watch is alive any more: changes may be missed. */
+        void lost();
 
         /** A connection to it stands, whatever comes of it. */
         void reached();
 
-        /**
-         * It is found at another address from now on.
-         *
-         * @param heardUs when the watch that is given up for it was last heard
-         */
-        void moved(long heardUs);
+        /** It is found at another address from now on. */
+        void moved();
     }
 
     /**
@@ -136,7 +132,7 @@
     public void moveTo(long nowUs, InetSocketAddress to) {
         address = to;
         Call old = current;
-        listener.moved(old == null ? nowUs : old.heardUs);
+        listener.moved();
         pauses.reset();
         current = null;
         watch(nowUs);
@@ -243,7 +239,7 @@
     /** Bytes that tell nothing are no news, and neither is a list that has begun. */
     private void awaitNews(long nowUs) {
         long limitMs = current.heard ? budget.silenceMs() : answerWithinMs;
-        long overUs = current.heardUs + TimeUnit.MILLISECONDS.toMicros(limitMs);
+        long overUs = current.heardUs + millisToMicros(limitMs);
         if (nowUs < overUs) {
             wakeAt(overUs);
         } else if (current.values.pending()) {
@@ -290,11 +286,15 @@
                         + call.endReason
                         + (call.values.pending() ? ", within an object" : ""));
         if (!source.onRequest()) {
-            callAgainUs = nowUs + TimeUnit.MILLISECONDS.toMicros(pauses.next());
+            callAgainUs = nowUs + millisToMicros(pauses.next());
             wakeAt(callAgainUs);
         }
         // Where discovery has to be asked, the module hears of it and says when to ask again.
-        listener.lost(call.heardUs);
+        listener.lost();
+    }
+
+    private static long millisToMicros(long ms) {
+        return TimeUnit.MILLISECONDS.toMicros(ms);
     }
 
     private static long millis(long us) {
@@ -354,12 +354,13 @@
                 older(list);
                 return;
             }
+            ListCurrency currency = currency(objectBegunUs);
             hear("version " + list.index());
             index = list.index();
             whole = false;
             fetched = fetch;
             pauses.reset();
-            listener.listed(list);
+            listener.listed(list, currency);
         }
 
         /** Said once a call: a release brings several versions a second. */
@@ -377,7 +378,7 @@
             answerWithinMs = budget.firstAnswerMs();
         }
 
-        /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
+        /** A watch with nothing to tell says so by an empty line. */
         @Override
         public void emptyLine() {
             if (this != current) {
@@ -385,12 +386,21 @@
             }
             pauses.reset();
             boolean first = !heard;
+            ListCurrency currency = currency(readAtUs);
             hear("no change since version " + index);
-            if (first && !fetch) {
-                listener.listed(new EndpointList(index, false, List.of()));
+            if (!first) {
+                listener.unchanged(currency);
+            } else if (!fetch) {
+                listener.listed(new EndpointList(index, false, List.of()), currency);
             }
         }
 
+        /** How current the list is with what was told at this time. */
+        private ListCurrency currency(long toldUs) {
+            return new ListCurrency(
+                    toldUs, fetch ? toldUs : readAtUs + millisToMicros(budget.silenceMs()));
+        }
+
         private void older(EndpointList list) {
             String why = "its version " + list.index() + " is older than " + index;
             if (list.whole()) {
--- a/src/test/java/passhatch/ServerListTest.java
+++ b/src/test/java/passhatch/ServerListTest.java
@@ -113,7 +113,7 @@
         assertEquals(1, p.count("watch"));
         long last = 0;
         for (int i = 1; i < 6; i++) {
-            p.logic.discoveryFailed(p.now, p.now);
+            p.logic.discoveryFailed(p.now);
             long failed = p.now;
             while (p.count("watch") == i) {
                 p.pass(10);
@@ -127,7 +127,7 @@
     @Test
     void followsNoListUnaskedWhereItIsPushed() {
         Proxy p = new Proxy(setup()).with("a");
-        p.logic.discoveryFailed(p.now, p.now);
+        p.logic.discoveryFailed(p.now);
         assertEquals(0, p.count("watch"));
     }
 }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import passhatch.Balancer.ListCurrency;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Server;
@@ -21,6 +22,7 @@
 
     private static final long TOLD_MS = 6_000;
     private static final long MOVE_TOLD_MS = 4_000;
+    private static final long SILENCE_MS = 3_000;
     private static final long GRACE_MS = 500;
     private static final long HOLD_UP_MS = 150;
     private static final List<Server> TWO =
@@ -28,11 +30,16 @@
                     new Server("a", 0, 0, 0, ServerStatus.UP),
                     new Server("b", 0, 0, 0, ServerStatus.UP));
 
+    /** As on a watch that says itself when it breaks. */
+    private static ListCurrency told(long nowUs) {
+        return new ListCurrency(nowUs, Long.MAX_VALUE);
+    }
+
     @Test
     void nothingIsSentOnceAnUnheardDrainMayBePastItsGrace() {
         Proxy p = new Proxy(setup()).with("a", "b");
         long lost = p.now;
-        p.logic.discoveryFailed(p.now, p.now);
+        p.logic.discoveryFailed(p.now);
         for (int i = 0; i < 100; i++) {
             String r = p.request(Proxy.SAFE);
             if (p.at(r) != null) {
@@ -87,7 +94,7 @@
     @Test
     void afterAMoveWhatIsFoundThereCountsAsToldSooner() {
         Proxy p = new Proxy(setup()).with("a", "b");
-        p.logic.discoveryMoved(p.now, p.now);
+        p.logic.discoveryMoved(p.now);
         String served = p.serve();
         p.pass(ListLease.MOVE_TOLD_WITHIN_US / MS + GRACE_MS);
         assertFalse(p.logic.mayReach(p.now, served));
@@ -102,19 +109,19 @@
             long now = 1_000_000 * MS;
             long heard = now;
             long moveTold = Long.MAX_VALUE;
-            lease.confirmed(now);
+            lease.current(told(now));
             lease.lost(now);
             for (int step = 0; step < 200; step++) {
                 now += random.nextLong(1, 2_000) * MS;
                 switch (random.nextInt(5)) {
                     case 0 -> {
-                        lease.confirmed(now);
+                        lease.current(told(now));
                         lease.lost(now);
                         heard = now;
                         moveTold = Long.MAX_VALUE;
                     }
                     case 1 -> {
-                        lease.moved(now, now);
+                        lease.moved(now);
                         moveTold = Math.min(moveTold, now + MOVE_TOLD_MS * MS);
                     }
                     default -> {}
@@ -131,7 +138,7 @@
     void aServerThatGoesOnAcceptingWhileItDrainsIsLeftWhenThatCountsAsTold() {
         Proxy p = new Proxy(setup()).with("a", "b");
         long drains = p.now;
-        p.logic.discoveryFailed(p.now, p.now);
+        p.logic.discoveryFailed(p.now);
         for (int i = 0; i < 400; i++) {
             String r = p.request(Proxy.SAFE);
             if (p.at(r) != null) {
@@ -148,10 +155,10 @@
     @Test
     void movesInARowDoNotPutOffWhenAnUnheardDrainCountsAsTold() {
         ListLease lease = new ListLease(GRACE_MS * MS);
-        lease.confirmed(0);
-        lease.moved(0, 0);
-        lease.moved(1_500 * MS, 0);
-        lease.moved(3_000 * MS, 0);
+        lease.current(told(0));
+        lease.moved(0);
+        lease.moved(1_500 * MS);
+        lease.moved(3_000 * MS);
         assertTrue(lease.usable(3_500 * MS));
         assertFalse(lease.usable((4_000 + GRACE_MS) * MS));
     }
@@ -160,9 +167,9 @@
     @Test
     void anAnswerAfterAMoveDoesNotPutOffWhenALaterDrainCountsAsTold() {
         ListLease lease = new ListLease(GRACE_MS * MS);
-        lease.confirmed(0);
-        lease.moved(1_000 * MS, 0);
-        lease.confirmed(2_000 * MS);
+        lease.current(told(0));
+        lease.moved(1_000 * MS);
+        lease.current(told(2_000 * MS));
         lease.lost(2_500 * MS);
         assertTrue(lease.usable(4_500 * MS));
         assertFalse(lease.usable((1_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
@@ -172,8 +179,8 @@
     @Test
     void aMoveDoesNotMakeTheListNewer() {
         ListLease lease = new ListLease(GRACE_MS * MS);
-        lease.confirmed(0);
-        lease.moved(2_900 * MS, 0);
+        lease.current(new ListCurrency(0, SILENCE_MS * MS));
+        lease.moved(2_900 * MS);
         assertTrue(lease.usable(6_000 * MS));
         assertFalse(lease.usable((TOLD_MS + GRACE_MS) * MS));
     }
@@ -181,12 +188,22 @@
     @Test
     void whatWasBegunToBeToldAndNotTakenInCountsAsToldSinceThen() {
         ListLease lease = new ListLease(GRACE_MS * MS);
-        lease.confirmed(0);
+        lease.current(told(0));
         lease.pending(1_000 * MS);
         lease.pending(1_100 * MS);
         assertTrue(lease.usable(1_100 * MS));
         assertFalse(lease.usable((1_000 + GRACE_MS) * MS));
-        lease.confirmed(2_000 * MS);
+        lease.current(told(2_000 * MS));
         assertTrue(lease.usable(2_000 * MS));
     }
+
+    /** A process may be paused for long, and then decide before it reads or a timer fires. */
+    @Test
+    void aWatchThatWasNotHeardForLongIsNotTakenForAlive() {
+        Proxy p = new Proxy(setup()).with("a", "b");
+        p.logic.listCurrent(p.now, new ListCurrency(p.now, p.now + SILENCE_MS * MS));
+        p.now += (TOLD_MS + GRACE_MS) * MS;
+        assertNull(p.at(p.request(Proxy.SAFE)));
+        assertFalse(p.logic.mayReach(p.now, "a"));
+    }
 }
--- a/src/test/java/passhatch/proxy/ForwardingTest.java
+++ b/src/test/java/passhatch/proxy/ForwardingTest.java
@@ -220,7 +220,10 @@
                                             if (method.equals("request")) {
                                                 actions.send(
                                                         ((Balancer.Request) args[1]).id(), "s", 0);
-                                                ((ListWatch.Listener) actions).listed(drains);
+                                                ((ListWatch.Listener) actions)
+                                                        .listed(
+                                                                drains,
+                                                                new Balancer.ListCurrency(0, 0));
                                             } else if (method.equals("outcome")) {
                                                 outcomes.add((Outcome) args[4]);
                                                 actions.refuse((String) args[1], 0);
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import passhatch.Balancer.ListCurrency;
 
 /** What the watch makes of what discovery says, with time set by hand. */
 final class ListWatchTest {
@@ -20,6 +21,7 @@
     private final List<String> called = new ArrayList<>();
     private final List<Long> hungUp = new ArrayList<>();
     private final List<EndpointList> listed = new ArrayList<>();
+    private final List<ListCurrency> currencies = new ArrayList<>();
     private final List<Long> pending = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
     private int lost;
@@ -59,8 +61,14 @@
 
     private final class Heard implements ListWatch.Listener {
         @Override
-        public void listed(EndpointList list) {
+        public void listed(EndpointList list, ListCurrency currency) {
             listed.add(list);
+            currencies.add(currency);
+        }
+
+        @Override
+        public void unchanged(ListCurrency currency) {
+            currencies.add(currency);
         }
 
         @Override
@@ -69,7 +77,7 @@
         }
 
         @Override
-        public void lost(long heardUs) {
+        public void lost() {
             lost++;
         }
 
@@ -77,7 +85,7 @@
         public void reached() {}
 
         @Override
-        public void moved(long heardUs) {}
+        public void moved() {}
     }
 
     private void begin() {
