Date a list that an empty line confirmed two seconds back, for what is still on its way

Callers were sent to a draining server after a watch ended instead of telling its drain: an empty line that came after discovery had the change counted as proof that the list is current.

Where discovery is asked, what a watch says after its answer makes the list current as of 2 s before; an empty line before the answer, as of the call.

--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -22,6 +22,10 @@
     /** More bytes than this are no list of backends. */
     private static final int LONGEST_LIST = 1 << 22;
 
+    /** Where discovery is asked, a change may still be on its way this long after it was made. */
+    private static final long LATEST_CHANGE_US =
+            TimeUnit.MILLISECONDS.toMicros(WatchBudget.EMPTY_LINE_EVERY_MS);
+
     private static final int OK = 200;
 
     /** Below are refusals that say something of the call; above, of discovery's own state. */
@@ -386,7 +390,8 @@
             }
             pauses.reset();
             boolean first = !heard;
-            ListCurrency currency = currency(readAtUs);
+            // The first may come while the call waits its turn.
+            ListCurrency currency = currency(first ? begunUs : readAtUs);
             hear("no change since version " + index);
             if (!first) {
                 listener.unchanged(currency);
@@ -395,10 +400,11 @@
             }
         }
 
-        /** How current the list is with what was told at this time. */
+        /** An answer has all that discovery had when it was begun; a watch may tell later. */
         private ListCurrency currency(long toldUs) {
+            long asOfUs = heard && source.onRequest() ? toldUs - LATEST_CHANGE_US : toldUs;
             return new ListCurrency(
-                    toldUs, fetch ? toldUs : readAtUs + millisToMicros(budget.silenceMs()));
+                    asOfUs, fetch ? asOfUs : readAtUs + millisToMicros(budget.silenceMs()));
         }
 
         private void older(EndpointList list) {
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -168,4 +168,16 @@
         assertEquals(0, field.ledger.drainBroken());
         await("the drain", () -> proxy.ask("vars").contains("hosts_down 1"));
     }
+
+    @Test
+    void aDrainThatAnEmptyLineCameAfterCountsFromWhenDiscoveryHadIt() throws Exception {
+        assertEquals(200, ask());
+        fault("do = 'tell_late', by = '1h'");
+        drainAcceptingUntold(TOLD_AFTER_MS);
+        serveFor(EMPTY_LINE_EVERY_MS);
+        fault("do = 'overload'");
+        fault("do = 'break'");
+        serveFor(TOLD_AFTER_MS + BEYOND_MS);
+        assertEquals(0, field.ledger.drainBroken());
+    }
 }
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -177,4 +177,31 @@
         watch.time(now);
         assertEquals(2, lost);
     }
+
+    /** A watch was seen to bring one 1.1 s after discovery had a change that it had not told. */
+    @Test
+    void anEmptyLineDoesNotProveThatNothingChangedInTheTwoSecondsItStandsFor() {
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        assertEquals(now, lastAsOfUs());
+        now += 5 * S;
+        say("");
+        assertEquals(now - 2 * S, lastAsOfUs());
+        say(message(9, false, entry("t", "SERVING")));
+        assertEquals(now - 2 * S, lastAsOfUs());
+    }
+
+    /** It may come while the call waits its turn. */
+    @Test
+    void anEmptyLineBeforeTheAnswerProvesNothingSinceTheCallWasMade() {
+        begin();
+        long calledUs = now;
+        now += 3 * S;
+        say("");
+        assertEquals(calledUs, lastAsOfUs());
+    }
+
+    private long lastAsOfUs() {
+        return currencies.get(currencies.size() - 1).asOfUs();
+    }
 }
