--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -17,7 +17,10 @@
     /** What discovery has to tell counts as told this long after it had it, arrived or not. */
     public static final long TOLD_WITHIN_US = 6_000_000;
 
-    /** After a move to another address all that is found there counts as told within this time. */
+    /**
+     * After a move to another address all that discovery has counts as told within this time, and
+     * so does each change that it gets within as much time after the move.
+     */
     public static final long MOVE_TOLD_WITHIN_US = 4_000_000;
 
     /** A process may be held up for so long between its clock and a read or a write. */
@@ -40,8 +43,8 @@
     private long grantedAtUs = Long.MAX_VALUE;
     private long pendingSinceUs = NOTHING_PENDING;
 
-    /** When what is found after each move counts as told, oldest first; without those passed. */
-    private final ArrayDeque<Long> movesToldAtUs = new ArrayDeque<>();
+    /** When discovery moved, oldest first; without moves that say nothing of later changes. */
+    private final ArrayDeque<Long> movedAtUs = new ArrayDeque<>();
 
     /**
      * No list yet.
@@ -93,15 +96,15 @@
     /** What counted as told by then is in the list. */
     private void currentAsOf(long timeUs) {
         currentAtUs = Math.max(currentAtUs, timeUs);
-        while (!movesToldAtUs.isEmpty() && movesToldAtUs.peek() <= timeUs) {
-            movesToldAtUs.poll();
+        while (!movedAtUs.isEmpty() && movedAtUs.peek() + MOVE_TOLD_WITHIN_US < currentAtUs) {
+            movedAtUs.poll();
         }
     }
 
     /** Discovery is asked at another address from now on; each move counts by itself. */
     void moved(long nowUs) {
         lost(nowUs);
-        movesToldAtUs.add(nowUs + MOVE_TOLD_WITHIN_US);
+        movedAtUs.add(nowUs);
     }
 
     /** Whether servers may be sent requests by the list. */
@@ -123,6 +126,9 @@
     /** When the first change after this time may count as told. */
     private long toldAtUs(long afterUs) {
         long toldAtUs = afterUs + TOLD_WITHIN_US;
-        return movesToldAtUs.isEmpty() ? toldAtUs : Math.min(movesToldAtUs.peek(), toldAtUs);
+        if (movedAtUs.isEmpty()) {
+            return toldAtUs;
+        }
+        return Math.min(toldAtUs, Math.max(movedAtUs.peek(), afterUs) + MOVE_TOLD_WITHIN_US);
     }
 }
