Date what a paused process reads by when it may have come, not by when it is read

Callers could be sent to a draining server after a process had been paused: an old empty line, read at its end, passed for word of that moment, and its silence began anew. What is read now may have stood unread since the loop was last on time, which the loop's beat tells; by that the list is dated, and its watch counts as silent since then.

The unit test failed (as of 108 s where 99 s is right) and passes. No drill with a real process: its clients' times end within a pause long enough to show it.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -374,6 +374,16 @@
      */
     void listPending(long sinceUs);
 
+    /**
+     * This process was held up: what discovery told meanwhile may stand unread, and counts as told.
+     *
+     * @param sinceUs since when nothing was read
+     */
+    void listUnread(long sinceUs);
+
+    /** All that came while this process was held up has been read. */
+    void listRead();
+
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import passhatch.Balancer.ListCurrency;
+import passhatch.Balancer.Rules;
 
 /**
  * Until when servers may be sent requests by a list that discovery no longer confirms. A change
@@ -38,6 +39,7 @@
     private static final long NOTHING_PENDING = Long.MAX_VALUE;
 
     private final long graceUs;
+    private final long toldWithinUs;
     private long watchedUntilUs = NEVER;
     private long currentAtUs = NEVER;
     private long grantedAtUs = Long.MAX_VALUE;
@@ -46,13 +48,18 @@
     /** When discovery moved, oldest first; without moves that say nothing of later changes. */
     private final ArrayDeque<Long> movedAtUs = new ArrayDeque<>();
 
+    private ListLease(long graceUs, long toldWithinUs) {
+        this.graceUs = graceUs;
+        this.toldWithinUs = toldWithinUs;
+    }
+
     /**
-     * No list yet.
+     * A lease on no list yet.
      *
-     * @param graceUs how long a server may still be sent requests once it is told to drain
+     * @param asked whether discovery has to be asked for changes
      */
-    ListLease(long graceUs) {
-        this.graceUs = graceUs;
+    static ListLease of(Rules rules, boolean asked) {
+        return new ListLease(rules.drainGraceUs(), TOLD_WITHIN_US);
     }
 
     /** A list of unknown age was given at the start. */
@@ -84,6 +91,12 @@
         pendingSinceUs = Math.min(pendingSinceUs, sinceUs);
     }
 
+    /** Nothing was read since this time: what was told meanwhile counts as told. */
+    void unread(long sinceUs) {}
+
+    /** All that was told by now has been read. */
+    void read() {}
+
     /** No watch is alive any more: changes may be missed. */
     void lost(long nowUs) {
         if (watchedUntilUs == Long.MAX_VALUE) {
@@ -125,7 +138,7 @@
 
     /** When the first change after this time may count as told. */
     private long toldAtUs(long afterUs) {
-        long toldAtUs = afterUs + TOLD_WITHIN_US;
+        long toldAtUs = afterUs + toldWithinUs;
         if (movedAtUs.isEmpty()) {
             return toldAtUs;
         }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -147,7 +147,7 @@
         this.actions = Objects.requireNonNull(actions, "actions");
         this.random = new SplittableRandom(seed);
         this.shares = new TenantShares(settings);
-        this.lease = new ListLease(settings.rules().drainGraceUs());
+        this.lease = ListLease.of(settings.rules(), settings.watch());
         this.times = new CallTimes(settings.classes().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
         this.leastWorth = settings.classes().stream().mapToDouble(RequestClass::worth).min().orElseThrow();
@@ -351,6 +351,16 @@
         lease.pending(sinceUs);
     }
 
+    @Override
+    public void listUnread(long sinceUs) {
+        lease.unread(sinceUs);
+    }
+
+    @Override
+    public void listRead() {
+        lease.read();
+    }
+
     @Override
     public void discoveryReached() {
         lease.reached();
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -159,8 +159,10 @@
         unreadUs = queue.nowUs() - pausedSinceUs;
         pausedSinceUs = DrainRecord.NEVER;
         timeline.accept("the process goes on after " + unreadUs / 1_000 + " ms");
+        balancer.listUnread(queue.nowUs() - unreadUs);
         drain(unread);
         unreadUs = 0;
+        balancer.listRead();
         drain(timers);
     }
 
@@ -224,6 +226,7 @@
                 () ->
                         watch.body(
                                 queue.nowUs(),
+                                queue.nowUs() - unreadUs,
                                 call,
                                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)));
     }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -120,6 +120,7 @@
                 new Discovery(
                         loop,
                         clock,
+                        holdUps,
                         log,
                         new ListWatch.Source(
                                 config.discovery(),
--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.HoldUps;
 
 /**
  * The connections to discovery. It carries what {@link ListWatch} decides, and tells it what comes;
@@ -34,6 +35,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final HoldUps holdUps;
     private final EventLog log;
     private final ListWatch watch;
     private final Map<Long, Channel> channels = new HashMap<>();
@@ -42,12 +44,14 @@
     public Discovery(
             EventLoop loop,
             Clock clock,
+            HoldUps holdUps,
             EventLog log,
             ListWatch.Source source,
             long seed,
             ListWatch.Listener listener) {
         this.loop = loop;
         this.clock = clock;
+        this.holdUps = holdUps;
         this.log = log;
         this.watch = new ListWatch(source, seed, this, listener, log::line);
     }
@@ -159,7 +163,8 @@
                 watch.answered(clock.nowUs(), call, response.status().code());
             }
             if (message instanceof HttpContent content) {
-                watch.body(clock.nowUs(), call, content.content());
+                long nowUs = clock.nowUs();
+                watch.body(nowUs, nowUs - holdUps.unreadUs(nowUs), call, content.content());
             }
             if (message instanceof LastHttpContent) {
                 watch.answerEnded(clock.nowUs(), call);
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -188,10 +188,14 @@
         }
     }
 
-    /** A part of an answer's body has come. */
-    public void body(long nowUs, long call, ByteBuf bytes) {
+    /**
+     * A part of an answer's body has come.
+     *
+     * @param arrivedUs since when it may have stood unread; not after now
+     */
+    public void body(long nowUs, long arrivedUs, long call, ByteBuf bytes) {
         if (isCurrent(call) && current.ok) {
-            current.read(nowUs, bytes);
+            current.read(nowUs, Math.max(arrivedUs, current.begunUs), bytes);
         }
     }
 
@@ -312,6 +316,7 @@
         private final JsonValues values = new JsonValues(LONGEST_LIST, this);
         private final long begunUs;
         private long readAtUs;
+        private long arrivedUs;
         private long objectBegunUs;
         private boolean pendingSaid;
         private long heardUs;
@@ -327,10 +332,11 @@
             this.heardUs = nowUs;
         }
 
-        void read(long nowUs, ByteBuf bytes) {
+        void read(long nowUs, long arrivedAtUs, ByteBuf bytes) {
             readAtUs = nowUs;
+            arrivedUs = arrivedAtUs;
             if (!values.pending()) {
-                objectBegunUs = nowUs;
+                objectBegunUs = arrivedUs;
                 pendingSaid = false;
             }
             values.read(bytes);
@@ -378,7 +384,7 @@
                                 + " ms");
             }
             heard = true;
-            heardUs = readAtUs;
+            heardUs = arrivedUs;
             answerWithinMs = budget.firstAnswerMs();
         }
 
@@ -391,7 +397,7 @@
             pauses.reset();
             boolean first = !heard;
             // The first may come while the call waits its turn.
-            ListCurrency currency = currency(first ? begunUs : readAtUs);
+            ListCurrency currency = currency(first ? begunUs : arrivedUs);
             hear("no change since version " + index);
             if (!first) {
                 listener.unchanged(currency);
@@ -404,7 +410,7 @@
         private ListCurrency currency(long toldUs) {
             long asOfUs = heard && source.onRequest() ? toldUs - LATEST_CHANGE_US : toldUs;
             return new ListCurrency(
-                    asOfUs, fetch ? asOfUs : readAtUs + millisToMicros(budget.silenceMs()));
+                    asOfUs, fetch ? asOfUs : arrivedUs + millisToMicros(budget.silenceMs()));
         }
 
         private void older(EndpointList list) {
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -105,7 +105,7 @@
     void noSendByAListIsPastTheGraceOfAnyChangeThatWasNotHeard() {
         for (long seed = 0; seed < 300; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            ListLease lease = new ListLease(GRACE_MS * MS);
+            ListLease lease = ListLease.of(rules(0), false);
             long now = 1_000_000 * MS;
             long heard = now;
             long moveTold = Long.MAX_VALUE;
@@ -154,7 +154,7 @@
     /** Of several moves the first counts, where nothing was heard between them. */
     @Test
     void movesInARowDoNotPutOffWhenAnUnheardDrainCountsAsTold() {
-        ListLease lease = new ListLease(GRACE_MS * MS);
+        ListLease lease = ListLease.of(rules(0), false);
         lease.current(told(0));
         lease.moved(0);
         lease.moved(1_500 * MS);
@@ -166,7 +166,7 @@
     /** An answer at the new address holds what was there by then; the drain came after it. */
     @Test
     void anAnswerAfterAMoveDoesNotPutOffWhenALaterDrainCountsAsTold() {
-        ListLease lease = new ListLease(GRACE_MS * MS);
+        ListLease lease = ListLease.of(rules(0), false);
         lease.current(told(0));
         lease.moved(1_000 * MS);
         lease.current(told(2_000 * MS));
@@ -178,7 +178,7 @@
     /** A move tells nothing of the list: what was heard last is as old as it was. */
     @Test
     void aMoveDoesNotMakeTheListNewer() {
-        ListLease lease = new ListLease(GRACE_MS * MS);
+        ListLease lease = ListLease.of(rules(0), false);
         lease.current(new ListCurrency(0, SILENCE_MS * MS));
         lease.moved(2_900 * MS);
         assertTrue(lease.usable(6_000 * MS));
@@ -187,7 +187,7 @@
 
     @Test
     void whatWasBegunToBeToldAndNotTakenInCountsAsToldSinceThen() {
-        ListLease lease = new ListLease(GRACE_MS * MS);
+        ListLease lease = ListLease.of(rules(0), false);
         lease.current(told(0));
         lease.pending(1_000 * MS);
         lease.pending(1_100 * MS);
@@ -206,4 +206,27 @@
         assertNull(p.at(p.request(Proxy.SAFE)));
         assertFalse(p.logic.mayReach(p.now, "a"));
     }
+
+    @Test
+    void whatMayStandUnreadAfterAPauseCountsAsToldSinceThePauseBegan() {
+        Proxy p = new Proxy(setup()).with("a", "b");
+        p.now += 2_000 * MS;
+        p.logic.listUnread(p.now - 2_000 * MS);
+        assertNull(p.at(p.request(Proxy.SAFE)));
+        p.logic.listRead();
+        assertNotNull(p.at(p.request(Proxy.SAFE)));
+    }
+
+    @Test
+    void withNoWatchAChangeCountsAfterTheAskingTimeWhereThatIsShorter() {
+        long askingMs = 2_000;
+        ListLease lease = ListLease.of(rules(askingMs), true);
+        lease.current(new ListCurrency(0, 0));
+        assertTrue(lease.usable(askingMs * MS));
+        assertFalse(lease.usable((askingMs + GRACE_MS) * MS));
+    }
+
+    private static Balancer.Rules rules(long askingMs) {
+        return new Balancer.Rules(GRACE_MS * MS, askingMs * MS, 1, 0, 2, 0);
+    }
 }
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -95,7 +95,12 @@
     }
 
     private void say(String line) {
-        watch.body(now, call, Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
+        say(line, now);
+    }
+
+    private void say(String line, long arrivedUs) {
+        watch.body(
+                now, arrivedUs, call, Unpooled.copiedBuffer(line + "\n", StandardCharsets.UTF_8));
     }
 
     private static String message(int index, boolean whole, String... entries) {
@@ -201,6 +206,19 @@
         assertEquals(calledUs, lastAsOfUs());
     }
 
+    /** A process that was paused reads what was written long ago. */
+    @Test
+    void whatStoodUnreadIsAsOldAsItMayBe() {
+        begin();
+        say(message(8, true, entry("s", "SERVING")));
+        now += 10 * S;
+        long arrivedUs = now - 9 * S;
+        say("", arrivedUs);
+        ListCurrency last = currencies.get(currencies.size() - 1);
+        assertEquals(arrivedUs - 2 * S, last.asOfUs());
+        assertTrue(last.watchedUntilUs() < now, "its silence begins anew");
+    }
+
     private long lastAsOfUs() {
         return currencies.get(currencies.size() - 1).asOfUs();
     }
