Hold a list without a watch no longer than the asking time, where that is under 6 s

Callers could be sent to a draining server at sites that ask for lists every few seconds: with no watch a change counts as told the asking time after it was made, and the lease knew only 6 s. It takes the shorter of the two now.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -60,7 +60,8 @@
      * @param asked whether discovery has to be asked for changes
      */
     static ListLease of(Rules rules, boolean asked) {
-        return new ListLease(rules.drainGraceUs(), TOLD_WITHIN_US);
+        long askingUs = asked && rules.askWithinUs() > 0 ? rules.askWithinUs() : TOLD_WITHIN_US;
+        return new ListLease(rules.drainGraceUs(), Math.min(askingUs, TOLD_WITHIN_US));
     }
 
     /** A list of unknown age was given at the start. */
