Listen to a watch that was given up until the next call is answered

Callers could be sent to a draining server whose drain was written to a watch in the moment in which the proxy closed it, after a move or a silence: what is written counts as told, read or not. Such a watch stays open now until the next call's answer begins, which holds all up to then; where it speaks before another call is made, it goes on as before. Once a later call brought something broken, the older one says nothing any more.

Two unit tests failed (version 9 written after a move, and after a silence, was not taken in) and pass. A fault of the state machine's first form is mended with it, as the tests of this showed it: an object that did not end was given up at the time of the last byte, so that the pause before the next call was over at once. The checker takes calls in the order in which they were made.

--- a/src/main/java/passhatch/lab/drain/DrainChecker.java
+++ b/src/main/java/passhatch/lab/drain/DrainChecker.java
@@ -1,6 +1,7 @@
 package passhatch.lab.drain;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -188,7 +189,11 @@
     /** For a proxy without a watch, from its last call on. */
     private long askingTimeOver(Change change, String proxy) {
         long askingUs = record.rules.askEveryUs();
-        List<Call> calls = record.calls.stream().filter(c -> c.proxy().equals(proxy)).toList();
+        List<Call> calls =
+                record.calls.stream()
+                        .filter(c -> c.proxy().equals(proxy))
+                        .sorted(Comparator.comparingLong(Call::fromUs))
+                        .toList();
         for (int i = 0; i < calls.size() && askingUs > 0; i++) {
             Call last = calls.get(i);
             long holdUs = last.failed() ? FAILED_CALL_ASKING_TIMES * askingUs : askingUs;
--- a/src/main/java/passhatch/lab/drain/DrainRecord.java
+++ b/src/main/java/passhatch/lab/drain/DrainRecord.java
@@ -5,7 +5,8 @@
 
 /**
  * What discovery, the platform and the backends wrote down of one run, each by its own account. All
- * times are microseconds of one clock. Entries of each kind are in the order of their times.
+ * times are microseconds of one clock. Entries of each kind are in the order of their times, but
+ * calls.
  */
 public final class DrainRecord {
 
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -105,9 +105,18 @@
     private long callAgainUs = NEVER;
     private long wakeAtUs = NEVER;
 
-    /** The call that is out; one that was given up for another says nothing any more. */
+    /** The time of the event that is being handled. */
+    private long nowUs;
+
+    /** The call that is out. */
     private Call current;
 
+    /**
+     * A watch that was given up and stays open until a later call is answered: what discovery
+     * writes on it counts as told, and may be on its way.
+     */
+    private Call previous;
+
     /** A watch that has not begun; the seed is of the pauses between two calls. */
     public ListWatch(
             Source source, long seed, Carrier carrier, Listener listener, Consumer<String> log) {
@@ -134,6 +143,7 @@
 
     /** Goes on at another address; the watch at the old one is given up. */
     public void moveTo(long nowUs, InetSocketAddress to) {
+        this.nowUs = nowUs;
         address = to;
         Call old = current;
         listener.moved();
@@ -141,12 +151,13 @@
         current = null;
         watch(nowUs);
         if (old != null) {
-            carrier.hangUp(old.number);
+            leave(old);
         }
     }
 
     /** Starts a watch unless one is out; one that ends is taken up again unless the module asks. */
     public void watch(long nowUs) {
+        this.nowUs = nowUs;
         if (stopped || current != null) {
             return;
         }
@@ -158,7 +169,7 @@
                 call.number,
                 address,
                 call.fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index);
-        awaitNews(nowUs);
+        awaitNews();
     }
 
     /** The connection of a call stands. */
@@ -177,6 +188,7 @@
 
     /** The head of an answer has come. */
     public void answered(long nowUs, long call, int status) {
+        this.nowUs = nowUs;
         if (!isCurrent(call)) {
             return;
         }
@@ -184,7 +196,7 @@
         if (!current.ok) {
             // It may no longer know the version asked for.
             whole = status < FIRST_SERVER_ERROR;
-            giveUp(nowUs, "answered " + status);
+            giveUp("answered " + status);
         }
     }
 
@@ -194,36 +206,52 @@
      * @param arrivedUs since when it may have stood unread; not after now
      */
     public void body(long nowUs, long arrivedUs, long call, ByteBuf bytes) {
-        if (isCurrent(call) && current.ok) {
-            current.read(nowUs, Math.max(arrivedUs, current.begunUs), bytes);
+        this.nowUs = nowUs;
+        boolean speaksAgain = current == null && isPrevious(call);
+        if (speaksAgain) {
+            current = previous;
+            previous = null;
+            log.accept("discovery: a watch that was silent speaks again");
+        }
+        Call heard = isPrevious(call) ? previous : current;
+        if (heard != null && heard.number == call && heard.ok) {
+            heard.read(Math.max(arrivedUs, heard.begunUs), bytes);
+        }
+        if (speaksAgain && current != null) {
+            awaitNews();
         }
     }
 
     /** An answer is whole. */
     public void answerEnded(long nowUs, long call) {
+        this.nowUs = nowUs;
         if (isCurrent(call)) {
             if (current.values.pending()) {
                 current.skipped("it is cut off by the end of the answer");
             } else {
-                giveUp(nowUs, "the answer ended");
+                giveUp("the answer ended");
             }
         }
     }
 
     /** The connection of a call is closed. */
     public void closed(long nowUs, long call) {
+        this.nowUs = nowUs;
         if (isCurrent(call)) {
-            ended(nowUs);
+            ended();
+        } else if (isPrevious(call)) {
+            previous = null;
         }
     }
 
     /** Does what is due by now. */
     public void time(long nowUs) {
+        this.nowUs = nowUs;
         if (wakeAtUs <= nowUs) {
             wakeAtUs = NEVER;
         }
         if (current != null) {
-            awaitNews(nowUs);
+            awaitNews();
         } else if (callAgainUs <= nowUs) {
             watch(nowUs);
         }
@@ -236,6 +264,7 @@
             carrier.hangUp(current.number);
             current = null;
         }
+        hangUpPrevious();
     }
 
     // ---- the call that is out
@@ -244,8 +273,30 @@
         return current != null && current.number == call;
     }
 
+    private boolean isPrevious(long call) {
+        return previous != null && previous.number == call;
+    }
+
+    /** Gives a call up; a watch is listened to until another call is answered. */
+    private void leave(Call call) {
+        if (call.heard && !call.fetch && !call.values.pending()) {
+            hangUpPrevious();
+            previous = call;
+        } else {
+            carrier.hangUp(call.number);
+        }
+    }
+
+    private void hangUpPrevious() {
+        if (previous != null) {
+            long number = previous.number;
+            previous = null;
+            carrier.hangUp(number);
+        }
+    }
+
     /** Bytes that tell nothing are no news, and neither is a list that has begun. */
-    private void awaitNews(long nowUs) {
+    private void awaitNews() {
         long limitMs = current.heard ? budget.silenceMs() : answerWithinMs;
         long overUs = current.heardUs + millisToMicros(limitMs);
         if (nowUs < overUs) {
@@ -253,7 +304,10 @@
         } else if (current.values.pending()) {
             current.skipped("it did not end");
         } else {
-            giveUp(nowUs, "nothing was told for " + limitMs + " ms");
+            Call silent = current;
+            silent.endReason = "nothing was told for " + limitMs + " ms";
+            ended();
+            leave(silent);
         }
     }
 
@@ -264,14 +318,14 @@
         }
     }
 
-    private void giveUp(long nowUs, String why) {
+    private void giveUp(String why) {
         long number = current.number;
         current.endReason = why;
-        ended(nowUs);
+        ended();
         carrier.hangUp(number);
     }
 
-    private void ended(long nowUs) {
+    private void ended() {
         Call call = current;
         current = null;
         if (call.fetched) {
@@ -315,7 +369,6 @@
         private final boolean fetch;
         private final JsonValues values = new JsonValues(LONGEST_LIST, this);
         private final long begunUs;
-        private long readAtUs;
         private long arrivedUs;
         private long objectBegunUs;
         private boolean pendingSaid;
@@ -332,15 +385,19 @@
             this.heardUs = nowUs;
         }
 
-        void read(long nowUs, long arrivedAtUs, ByteBuf bytes) {
-            readAtUs = nowUs;
+        void read(long arrivedAtUs, ByteBuf bytes) {
             arrivedUs = arrivedAtUs;
             if (!values.pending()) {
                 objectBegunUs = arrivedUs;
                 pendingSaid = false;
             }
             values.read(bytes);
-            if (this == current && values.pending() && !pendingSaid) {
+            if (this == current && (values.pending() || heard)) {
+                // What is written from now on is written here as well.
+                hangUpPrevious();
+            }
+            boolean listenedTo = this == current || this == previous;
+            if (listenedTo && values.pending() && !pendingSaid) {
                 pendingSaid = true;
                 listener.pending(objectBegunUs);
             }
@@ -348,7 +405,7 @@
 
         @Override
         public void object(String text) {
-            if (this != current) {
+            if (this != current && this != previous) {
                 return;
             }
             EndpointList list;
@@ -365,7 +422,9 @@
                 return;
             }
             ListCurrency currency = currency(objectBegunUs);
-            hear("version " + list.index());
+            if (this == current) {
+                hear("version " + list.index());
+            }
             index = list.index();
             whole = false;
             fetched = fetch;
@@ -377,11 +436,7 @@
         private void hear(String what) {
             if (!heard) {
                 log.accept(
-                        "discovery: "
-                                + what
-                                + " heard after "
-                                + millis(readAtUs - begunUs)
-                                + " ms");
+                        "discovery: " + what + " heard after " + millis(nowUs - begunUs) + " ms");
             }
             heard = true;
             heardUs = arrivedUs;
@@ -410,14 +465,17 @@
         private ListCurrency currency(long toldUs) {
             long asOfUs = heard && source.onRequest() ? toldUs - LATEST_CHANGE_US : toldUs;
             return new ListCurrency(
-                    asOfUs, fetch ? asOfUs : arrivedUs + millisToMicros(budget.silenceMs()));
+                    asOfUs,
+                    fetch || this == previous
+                            ? asOfUs
+                            : arrivedUs + millisToMicros(budget.silenceMs()));
         }
 
         private void older(EndpointList list) {
             String why = "its version " + list.index() + " is older than " + index;
             if (list.whole()) {
                 log.accept("discovery: a list is skipped: " + why);
-                giveUp(readAtUs, "it is behind");
+                end("it is behind");
             } else {
                 // Whatever else it says was never told.
                 whole = true;
@@ -430,10 +488,19 @@
          */
         @Override
         public void skipped(String why) {
-            if (this == current) {
+            if (this == current || this == previous) {
                 log.accept("discovery: a list is skipped: " + why);
                 listener.pending(objectBegunUs);
-                giveUp(readAtUs, "a list was skipped");
+                hangUpPrevious();
+                end("a list was skipped");
+            }
+        }
+
+        private void end(String why) {
+            if (this == current) {
+                giveUp(why);
+            } else {
+                hangUpPrevious();
             }
         }
     }
--- a/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
+++ b/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
@@ -98,6 +98,16 @@
         assertBound(record, 12 * S, Sentence.ASKING_TIME);
     }
 
+    /** A call is written down when it ends, which may be after the next was made. */
+    @Test
+    void theLastCallIsTheOneThatWasMadeLast() {
+        DrainRecord record = drained(false, 2 * S);
+        record.add(new Call(PROXY, S, 2 * S, NEVER, 5 * S, false));
+        record.add(new Call(PROXY, 11 * S, NEVER, NEVER, NEVER, false));
+        record.add(new Call(PROXY, 5 * S, 6 * S, NEVER, 13 * S, false));
+        assertBound(record, 13 * S, Sentence.ASKING_TIME);
+    }
+
     @Test
     void afterAFailedCallTheAskingTimeCountsFourTimes() {
         DrainRecord record = drained(false, S);
