Take a late answer, a paused signal and a list that is behind by what each may leave out

- An answer with the changes after an older version than the one known meanwhile lacks what changed and changed back: it is asked for anew, as something told and not taken in.
- A signal that came during a pause is known only to lie within it: its 4 s count from the pause's beginning, and it holds for changes up to 4 s after its end.
- A call whose answer had begun is listened to like a watch when it is given up, and what follows a list that is behind counts as told.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -387,8 +387,12 @@
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
-    /** Discovery is found at another address from now on. */
-    void discoveryMoved(long nowUs);
+    /**
+     * Discovery is found at another address.
+     *
+     * @param sinceUs since when at the earliest; a process that was held up learns of it late
+     */
+    void discoveryMoved(long nowUs, long sinceUs);
 
     /** Whether a server may be sent something now; to be asked just before each write. */
     boolean mayReach(long nowUs, String server);
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -46,8 +46,11 @@
     private long pendingSinceUs = NOTHING_PENDING;
     private long unreadSinceUs = NOTHING_PENDING;
 
-    /** When discovery moved, oldest first; without moves that say nothing of later changes. */
-    private final ArrayDeque<Long> movedAtUs = new ArrayDeque<>();
+    /** A move of discovery, at some time between two. */
+    private record Move(long earliestUs, long latestUs) {}
+
+    /** Oldest first; without moves that say nothing of later changes. */
+    private final ArrayDeque<Move> moves = new ArrayDeque<>();
 
     private ListLease(long graceUs, long toldWithinUs) {
         this.graceUs = graceUs;
@@ -115,15 +118,18 @@
     /** What counted as told by then is in the list. */
     private void currentAsOf(long timeUs) {
         currentAtUs = Math.max(currentAtUs, timeUs);
-        while (!movedAtUs.isEmpty() && movedAtUs.peek() + MOVE_TOLD_WITHIN_US < currentAtUs) {
-            movedAtUs.poll();
+        while (!moves.isEmpty() && moves.peek().latestUs + MOVE_TOLD_WITHIN_US < currentAtUs) {
+            moves.poll();
         }
     }
 
-    /** Discovery is asked at another address from now on; each move counts by itself. */
-    void moved(long nowUs) {
-        lost(nowUs);
-        movedAtUs.add(nowUs);
+    /**
+     * Discovery is asked at another address from now on; each move counts by itself. A process that
+     * was held up knows only between which two times that was.
+     */
+    void moved(long earliestUs, long latestUs) {
+        lost(latestUs);
+        moves.add(new Move(earliestUs, latestUs));
     }
 
     /** Whether servers may be sent requests by the list. */
@@ -145,9 +151,10 @@
     /** When the first change after this time may count as told. */
     private long toldAtUs(long afterUs) {
         long toldAtUs = afterUs + toldWithinUs;
-        if (movedAtUs.isEmpty()) {
+        if (moves.isEmpty()) {
             return toldAtUs;
         }
-        return Math.min(toldAtUs, Math.max(movedAtUs.peek(), afterUs) + MOVE_TOLD_WITHIN_US);
+        long movedUs = Math.max(moves.peek().earliestUs, afterUs);
+        return Math.min(toldAtUs, movedUs + MOVE_TOLD_WITHIN_US);
     }
 }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -368,8 +368,8 @@
     }
 
     @Override
-    public void discoveryMoved(long nowUs) {
-        lease.moved(nowUs);
+    public void discoveryMoved(long nowUs, long sinceUs) {
+        lease.moved(sinceUs, nowUs);
     }
 
     @Override
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -166,9 +166,9 @@
         boolean discoveryFirst = random.nextBoolean();
         drain(discoveryFirst ? unreadOfDiscovery : unreadOfOthers);
         drain(discoveryFirst ? unreadOfOthers : unreadOfDiscovery);
-        unreadUs = 0;
         balancer.listRead(queue.nowUs());
         drain(timers);
+        unreadUs = 0;
     }
 
     private static void drain(ArrayDeque<Runnable> waiting) {
@@ -308,7 +308,7 @@
 
     @Override
     public void moved() {
-        balancer.discoveryMoved(queue.nowUs());
+        balancer.discoveryMoved(queue.nowUs(), queue.nowUs() - unreadUs);
     }
 
     // ---- the decision module
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -229,7 +229,12 @@
 
     @Override
     public void moved() {
-        tell(null, () -> balancer.discoveryMoved(clock.nowUs()));
+        tell(
+                null,
+                () -> {
+                    long nowUs = clock.nowUs();
+                    balancer.discoveryMoved(nowUs, nowUs - holdUps.unreadUs(nowUs));
+                });
     }
 
     private void learn(EndpointList list) {
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -279,7 +279,7 @@
 
     /** Gives a call up; a watch is listened to until another call is answered. */
     private void leave(Call call) {
-        if (call.heard && !call.fetch && !call.values.pending()) {
+        if (call.ok && !call.fetch && !call.values.pending()) {
             hangUpPrevious();
             previous = call;
         } else {
@@ -367,6 +367,7 @@
     private final class Call implements JsonValues.Listener {
         private final long number;
         private final boolean fetch;
+        private final long askedFrom = index;
         private final JsonValues values = new JsonValues(LONGEST_LIST, this);
         private final long begunUs;
         private long arrivedUs;
@@ -421,6 +422,11 @@
                 older(list);
                 return;
             }
+            if (!heard && !list.whole() && askedFrom < index) {
+                // What changed back since then is not among the changes after the older version.
+                skipped("it is told from version " + askedFrom + ", and " + index + " is known");
+                return;
+            }
             ListCurrency currency = currency(objectBegunUs);
             if (this == current) {
                 hear("version " + list.index());
@@ -472,15 +478,11 @@
         }
 
         private void older(EndpointList list) {
-            String why = "its version " + list.index() + " is older than " + index;
-            if (list.whole()) {
-                log.accept("discovery: a list is skipped: " + why);
-                end("it is behind");
-            } else {
-                // Whatever else it says was never told.
+            if (!list.whole()) {
+                // What it says of other servers is nowhere else.
                 whole = true;
-                skipped(why);
             }
+            skipped("its version " + list.index() + " is older than " + index);
         }
 
         /**
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -94,7 +94,7 @@
     @Test
     void afterAMoveWhatIsFoundThereCountsAsToldSooner() {
         Proxy p = new Proxy(setup()).with("a", "b");
-        p.logic.discoveryMoved(p.now);
+        p.logic.discoveryMoved(p.now, p.now);
         String served = p.serve();
         p.pass(ListLease.MOVE_TOLD_WITHIN_US / MS + GRACE_MS);
         assertFalse(p.logic.mayReach(p.now, served));
@@ -121,7 +121,7 @@
                         moveTold = Long.MAX_VALUE;
                     }
                     case 1 -> {
-                        lease.moved(now);
+                        lease.moved(now, now);
                         moveTold = Math.min(moveTold, now + MOVE_TOLD_MS * MS);
                     }
                     default -> {}
@@ -156,9 +156,9 @@
     void movesInARowDoNotPutOffWhenAnUnheardDrainCountsAsTold() {
         ListLease lease = ListLease.of(rules(0), false);
         lease.current(told(0));
-        lease.moved(0);
-        lease.moved(1_500 * MS);
-        lease.moved(3_000 * MS);
+        lease.moved(0, 0);
+        lease.moved(1_500 * MS, 1_500 * MS);
+        lease.moved(3_000 * MS, 3_000 * MS);
         assertTrue(lease.usable(3_500 * MS));
         assertFalse(lease.usable((4_000 + GRACE_MS) * MS));
     }
@@ -168,7 +168,7 @@
     void anAnswerAfterAMoveDoesNotPutOffWhenALaterDrainCountsAsTold() {
         ListLease lease = ListLease.of(rules(0), false);
         lease.current(told(0));
-        lease.moved(1_000 * MS);
+        lease.moved(1_000 * MS, 1_000 * MS);
         lease.current(told(2_000 * MS));
         lease.lost(2_500 * MS);
         assertTrue(lease.usable(6_500 * MS));
@@ -180,7 +180,7 @@
     void aMoveDoesNotMakeTheListNewer() {
         ListLease lease = ListLease.of(rules(0), false);
         lease.current(new ListCurrency(0, SILENCE_MS * MS));
-        lease.moved(2_900 * MS);
+        lease.moved(2_900 * MS, 2_900 * MS);
         assertTrue(lease.usable(6_000 * MS));
         assertFalse(lease.usable((TOLD_MS + GRACE_MS) * MS));
     }
@@ -229,4 +229,16 @@
     private static Balancer.Rules rules(long askingMs) {
         return new Balancer.Rules(GRACE_MS * MS, askingMs * MS, 1, 0, 2, 0);
     }
+
+    /** The signal came at some time of a pause from 1 to 5 s. */
+    @Test
+    void aMoveDuringAPauseCountsFromItsBeginningAndUpToItsEnd() {
+        ListLease lease = ListLease.of(rules(0), false);
+        lease.current(new ListCurrency(0, 0));
+        lease.moved(1_000 * MS, 5_000 * MS);
+        assertFalse(lease.usable((1_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
+        lease.current(new ListCurrency(8_000 * MS, 0));
+        assertTrue(lease.usable((8_000 + MOVE_TOLD_MS) * MS));
+        assertFalse(lease.usable((8_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
+    }
 }
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -280,6 +280,22 @@
         assertTrue(log.stream().anyMatch(l -> l.contains("ended after 3000 ms")), log::toString);
     }
 
+    /** It drained, served and drained again: of that the changes after version 8 have nothing. */
+    @Test
+    void changesAfterAnOlderVersionThanTheOneKnownAreAskedForAnew() {
+        begin();
+        say(message(8, true, entry("s", "DRAINING")));
+        long old = call;
+        watch.moveTo(now, new InetSocketAddress(1));
+        watch.body(now, now, old, bytes(message(9, false, entry("s", "SERVING"))));
+        watch.answered(now, call, 200);
+        say(message(10, false));
+        assertEquals(9, listed.get(listed.size() - 1).index());
+        assertEquals(List.of(now), pending);
+        begin();
+        assertTrue(called.get(2).endsWith("from=9"), called::toString);
+    }
+
     private long lastAsOfUs() {
         return currencies.get(currencies.size() - 1).asOfUs();
     }
