--- a/src/main/java/passhatch/lab/drain/DrainChecker.java
+++ b/src/main/java/passhatch/lab/drain/DrainChecker.java
@@ -170,13 +170,15 @@
         return DrainRecord.NEVER;
     }
 
-    /** A watch misses what comes after it fell silent, until another call is made. */
+    /**
+     * A watch misses what comes after it fell silent, until it ends or a later call is answered.
+     */
     private long silentFor(Change change, String proxy) {
         long told = DrainRecord.NEVER;
         for (Call call : record.calls) {
             if (call.proxy().equals(proxy)
                     && call.silentUs() <= change.atUs()
-                    && change.atUs() < call.endedUs()) {
+                    && change.atUs() < Math.min(call.endedUs(), answeredAfter(call))) {
                 told =
                         Math.min(
                                 told,
@@ -186,6 +188,14 @@
         return told;
     }
 
+    private long answeredAfter(Call call) {
+        return record.calls.stream()
+                .filter(c -> c.proxy().equals(call.proxy()) && c.fromUs() > call.fromUs())
+                .mapToLong(Call::answeredUs)
+                .min()
+                .orElse(DrainRecord.NEVER);
+    }
+
     /** For a proxy without a watch, from its last call on. */
     private long askingTimeOver(Change change, String proxy) {
         long askingUs = record.rules.askEveryUs();
--- a/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
+++ b/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
@@ -91,6 +91,23 @@
         assertBound(record, 16 * S, Sentence.REACHABLE);
     }
 
+    /** It was opened anew: that its old connection stays open changes nothing. */
+    @Test
+    void aSilentWatchMissesNothingAfterALaterOneWasAnswered() {
+        DrainRecord record = asked();
+        record.add(new Call(PROXY, S, 2 * S, 7 * S, 30 * S, false));
+        record.add(new Call(PROXY, 9 * S, 10 * S - 1, NEVER, NEVER, false));
+        assertBound(record, 16 * S, Sentence.REACHABLE);
+    }
+
+    @Test
+    void aSilentWatchMissesWhatComesBeforeALaterOneIsAnswered() {
+        DrainRecord record = asked();
+        record.add(new Call(PROXY, S, 2 * S, 7 * S, 30 * S, false));
+        record.add(new Call(PROXY, 9 * S, 10 * S + 1, NEVER, NEVER, false));
+        assertBound(record, 13 * S, Sentence.SILENT_WATCH);
+    }
+
     @Test
     void withNoWatchAChangeCountsAfterTheAskingTime() {
         DrainRecord record = drained(false, 2 * S);
