Write nothing to an address that a server has left while the connection came up

Callers' requests could go to whatever listens at a server's old address: the guard at the write asked whether the name is up, and a name that was listed again elsewhere meanwhile is. It asks for the address as well now. The unit test failed and passes; the one on draining servers shares its steps.

--- a/src/main/java/passhatch/proxy/KnownBackends.java
+++ b/src/main/java/passhatch/proxy/KnownBackends.java
@@ -52,9 +52,10 @@
         return backend == null ? null : backend.address();
     }
 
-    /** Whether it may be sent something new; false where it drains or has gone. */
-    boolean isUp(String name) {
-        return byName.get(name).status() == ServerStatus.UP;
+    /** Whether it may be sent something new there; false where it drains, has gone or moved. */
+    boolean isUpAt(InetSocketAddress address, String name) {
+        Backend backend = byName.get(name);
+        return backend.status() == ServerStatus.UP && backend.address().equals(address);
     }
 
     /** How many are in the list, those that drain too. */
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -521,7 +521,7 @@
                         new Outgoing(
                                 () -> message(e, untilUs),
                                 body.isLong() ? body : null,
-                                () -> !e.answered && isUp(server) && mayStillRepeat(e),
+                                () -> !e.answered && isUpAt(backend, server) && mayStillRepeat(e),
                                 waitUs,
                                 Outcome.TIMEOUT),
                         new BackendPool.Listener() {
@@ -558,8 +558,8 @@
      * Guards against a connection that comes up late: one to a backend that drains or has gone by
      * then, or may have, is sent nothing.
      */
-    private boolean isUp(String server) {
-        return backends.isUp(server) && balancer.mayReach(clock.nowUs(), server);
+    private boolean isUpAt(InetSocketAddress backend, String server) {
+        return backends.isUpAt(backend, server) && balancer.mayReach(clock.nowUs(), server);
     }
 
     /**
@@ -630,7 +630,7 @@
                 new Outgoing(
                         Messages::probe,
                         null,
-                        () -> isUp(server),
+                        () -> isUpAt(backend, server),
                         PROBE_TIMEOUT_US,
                         Outcome.TIMEOUT),
                 result ->
--- a/src/test/java/passhatch/proxy/ForwardingTest.java
+++ b/src/test/java/passhatch/proxy/ForwardingTest.java
@@ -201,17 +201,28 @@
         rig.awaitLog("BUG in the decision module");
     }
 
-    /** The list changes between the send and the moment the connection is up. */
     @Test
     void nothingIsWrittenToABackendThatDrainsWhileConnecting() throws Exception {
         ScriptedServer backend =
                 rig.backend((connection, request) -> connection.answer("200 OK", ""));
-        EndpointList drains =
+        assertNotWrittenOnceListed(backend, Rig.entry("s", backend.address(), "DRAINING"));
+    }
+
+    /** What is at the old address may be another server by then. */
+    @Test
+    void nothingIsWrittenToAnAddressThatABackendLeftWhileConnecting() throws Exception {
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        ScriptedServer elsewhere =
+                rig.backend((connection, request) -> connection.answer("200 OK", ""));
+        assertNotWrittenOnceListed(backend, up("s", elsewhere));
+    }
+
+    /** The list changes between the send and the moment the connection is up. */
+    private void assertNotWrittenOnceListed(ScriptedServer backend, String entry) throws Exception {
+        EndpointList changed =
                 EndpointList.of(
-                        JSON.std.mapFrom(
-                                Rig.list(9, false, Rig.entry("s", backend.address(), "DRAINING"))),
-                        List.of("a"),
-                        List.of("m"));
+                        JSON.std.mapFrom(Rig.list(9, false, entry)), List.of("a"), List.of("m"));
         BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
         rig.module(
                         (settings, seed, actions) ->
@@ -222,7 +233,7 @@
                                                         ((Balancer.Request) args[1]).id(), "s", 0);
                                                 ((ListWatch.Listener) actions)
                                                         .listed(
-                                                                drains,
+                                                                changed,
                                                                 new Balancer.ListCurrency(0, 0));
                                             } else if (method.equals("outcome")) {
                                                 outcomes.add((Outcome) args[4]);
