Do not wait ever longer for discovery where lists are pushed

Where lists are pushed a call that was made in an outage and never answered kept a proxy deaf after discovery's return: each such call doubled the wait for the next answer, to 28 s, which is meant for a discovery that many callers ask. The test adds up answer, pause and connection against 6 s; it failed (28.4 s at a grace of 0.75 s) and passes.

--- a/src/main/java/passhatch/proxy/discovery/WatchBudget.java
+++ b/src/main/java/passhatch/proxy/discovery/WatchBudget.java
@@ -9,6 +9,7 @@
  *
  * @param silenceMs a watch that has told nothing for so long is taken for broken
  * @param firstAnswerMs a call that has told nothing by then is given up; doubled by each such call
+ *     where discovery has to be asked
  * @param longestAnswerMs the longest time for an answer
  * @param connectMs a connection that is not up by then never will be
  * @param longestPauseMs between two calls after failures, where changes are pushed; else the module
@@ -56,7 +57,7 @@
         return new WatchBudget(
                 EMPTY_LINE_EVERY_MS + EMPTY_LINE_SLACK_MS,
                 FIRST_ANSWER_MS,
-                FIRST_ANSWER_MS << DOUBLINGS,
+                asked ? FIRST_ANSWER_MS << DOUBLINGS : FIRST_ANSWER_MS,
                 asked ? ASKED_CONNECT_MS : pushedMs,
                 pushedMs);
     }
--- a/src/test/java/passhatch/proxy/discovery/WatchBudgetTest.java
+++ b/src/test/java/passhatch/proxy/discovery/WatchBudgetTest.java
@@ -47,4 +47,14 @@
         WatchBudget budget = WatchBudget.of(true, 750_000);
         assertTrue(budget.silenceMs() >= WatchBudget.EMPTY_LINE_EVERY_MS + 2 * HOLD_UP_MS);
     }
+
+    /** A call may have been made in an outage and never be answered. */
+    @Test
+    void whereChangesArePushedNoCallIsWaitedForLongerThanASilentWatchMay() {
+        for (long graceMs : GRACES_MS) {
+            WatchBudget budget = WatchBudget.of(false, graceMs * 1_000);
+            long spentMs = budget.longestAnswerMs() + budget.longestPauseMs() + budget.connectMs();
+            assertTrue(spentMs <= TOLD_MS, graceMs + ": " + spentMs);
+        }
+    }
 }
