Use a server that accepts without a list only while discovery gives no sign, known red

What is not mended: a server that drains and accepts on is sent requests past its grace while discovery is silent or turns calls away after seconds.

--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -30,6 +30,9 @@
      */
     long turnAtUs;
 
+    /** When the latest request was sent that it accepted. */
+    long acceptedUs = ListLease.NEVER;
+
     int failures;
 
     /** When an outcome last showed that a connection stands. */
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -384,6 +384,9 @@
     /** All that came while this process was held up has been read. */
     void listRead(long nowUs);
 
+    /** Discovery has turned a call away at once, as one does that is there and has too many. */
+    void discoveryTurnedAway();
+
     /** A connection to discovery stands, whatever comes of it. */
     void discoveryReached();
 
--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -8,8 +8,8 @@
  * Until when servers may be sent requests by a list that discovery no longer confirms. A change
  * that did not arrive counts as told some time after it was made; from then on a server that it
  * takes out of use may be sent requests for the grace only. So a list is held as a lease: it is in
- * force while a watch is alive, and runs out after that. That a server accepts requests renews
- * nothing: one that drains may go on accepting for as long as it runs.
+ * force while a watch is alive, and runs out after that. While discovery gives no sign that it can
+ * be reached, a server that accepted a request a moment ago may be used without a list.
  *
  * <p>No clock of its own; all times are microseconds of one clock.
  */
@@ -33,8 +33,14 @@
      */
     public static final long UNHEARD_START_US = 7_000_000;
 
+    /**
+     * That a server accepts is taken for a sign that it does not drain for so long only: one that
+     * drains may go on accepting, for longer than this in some deployments.
+     */
+    private static final long ACCEPTED_FOR_US = 1_200_000;
+
     /** As the time of what has not happened. */
-    private static final long NEVER = Long.MIN_VALUE;
+    static final long NEVER = Long.MIN_VALUE;
 
     private static final long NOTHING_PENDING = Long.MAX_VALUE;
 
@@ -45,6 +51,10 @@
     private long grantedAtUs = Long.MAX_VALUE;
     private long pendingSinceUs = NOTHING_PENDING;
     private long unreadSinceUs = NOTHING_PENDING;
+    private long lastAcceptedUs = NEVER;
+
+    /** Discovery was seen to be there since the list was last confirmed. */
+    private boolean discoveryThere;
 
     /** A move of discovery, at some time between two. */
     private record Move(long earliestUs, long latestUs) {}
@@ -88,6 +98,7 @@
     void current(ListCurrency currency) {
         watchedUntilUs = currency.watchedUntilUs();
         pendingSinceUs = NOTHING_PENDING;
+        discoveryThere = false;
         currentAsOf(currency.asOfUs());
     }
 
@@ -96,6 +107,16 @@
         pendingSinceUs = Math.min(pendingSinceUs, sinceUs);
     }
 
+    /** Discovery has turned a call away at once: it is there, and what it has counts as told. */
+    void turnedAway() {
+        discoveryThere = true;
+    }
+
+    /** A server has accepted a request that was sent at this time. */
+    void accepted(long sentUs) {
+        lastAcceptedUs = Math.max(lastAcceptedUs, sentUs);
+    }
+
     /** Nothing was read since this time: what was told meanwhile counts as told. */
     void unread(long sinceUs) {
         unreadSinceUs = Math.min(unreadSinceUs, sinceUs);
@@ -132,12 +153,36 @@
         moves.add(new Move(earliestUs, latestUs));
     }
 
+    /** Whether any server may be sent requests. */
+    boolean anyUsable(long nowUs) {
+        return usable(nowUs, lastAcceptedUs);
+    }
+
+    /**
+     * Whether a server may be sent requests.
+     *
+     * @param acceptedUs when the latest request was sent that it accepted, or {@link #NEVER}
+     */
+    boolean usable(long nowUs, long acceptedUs) {
+        return nowUs < lastSendUs(Math.min(pendingSinceUs, unreadSinceUs))
+                && (usable(nowUs) || byAcceptance(nowUs, acceptedUs));
+    }
+
     /** Whether servers may be sent requests by the list. */
     boolean usable(long nowUs) {
         return nowUs < lastSendUs(Math.min(pendingSinceUs, unreadSinceUs))
                 && (nowUs < watchedUntilUs || nowUs < usableUntilUs(nowUs));
     }
 
+    /** After a move what discovery has counts as told soon, whether it can be reached or not. */
+    private boolean byAcceptance(long nowUs, long acceptedUs) {
+        return acceptedUs != NEVER
+                && !discoveryThere
+                && moves.isEmpty()
+                && nowUs < acceptedUs + ACCEPTED_FOR_US - HOLD_UP_US
+                && nowUs < lastSendUs(acceptedUs + toldWithinUs);
+    }
+
     private long usableUntilUs(long nowUs) {
         long fromUs = currentAtUs == NEVER ? grantedAtUs : currentAtUs;
         return fromUs > nowUs ? NEVER : lastSendUs(toldAtUs(fromUs));
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -362,6 +362,11 @@
         advance(nowUs);
     }
 
+    @Override
+    public void discoveryTurnedAway() {
+        lease.turnedAway();
+    }
+
     @Override
     public void discoveryReached() {
         lease.reached();
@@ -375,7 +380,7 @@
     @Override
     public boolean mayReach(long nowUs, String server) {
         Backend s = byId.get(server);
-        return s != null && s.up && lease.usable(nowUs);
+        return s != null && s.up && lease.usable(nowUs, s.acceptedUs);
     }
 
     // ---- requests and their attempts
@@ -415,7 +420,7 @@
             return;
         }
         logListState(nowUs);
-        if (!lease.usable(nowUs)) {
+        if (!lease.anyUsable(nowUs)) {
             holdForList(nowUs, call);
             return;
         }
@@ -439,7 +444,7 @@
 
     /** One line each time the list of servers may no longer be used, or may be used again. */
     private void logListState(long nowUs) {
-        boolean usable = lease.usable(nowUs);
+        boolean usable = lease.anyUsable(nowUs);
         if (usable != listUsable) {
             listUsable = usable;
             actions.log(usable ? "the list of servers is in use"
@@ -610,7 +615,8 @@
     }
 
     private boolean open(long nowUs, Call call, Backend s) {
-        return s.restUntilUs <= nowUs && s.entryAtUs <= nowUs && mayUse(call, s);
+        return s.restUntilUs <= nowUs && s.entryAtUs <= nowUs && lease.usable(nowUs, s.acceptedUs)
+                && mayUse(call, s);
     }
 
     /**
@@ -741,6 +747,9 @@
             closeIdle(attempt.server.id);
         }
         judge(nowUs, attempt.server, outcome);
+        if (outcome == Outcome.OK) {
+            accepted(attempt);
+        }
         if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && !attempt.begun) {
             took(nowUs, attempt, outcome == Outcome.OK, elapsedUs);
         } else if (outcome == Outcome.FULL) {
@@ -765,6 +774,11 @@
         advance(nowUs);
     }
 
+    private void accepted(Attempt attempt) {
+        attempt.server.acceptedUs = Math.max(attempt.server.acceptedUs, attempt.sentAtUs);
+        lease.accepted(attempt.sentAtUs);
+    }
+
     private Attempt attemptOut(String id, int number) {
         Call call = calls.get(id);
         Attempt attempt = call == null || number >= call.attempts.size() ? null : call.attempts.get(number);
@@ -870,6 +884,7 @@
         started.begun = true;
         started.server.inFlight--;
         judge(nowUs, started.server, Outcome.OK);
+        accepted(started);
         took(nowUs, started, true, elapsedUs);
         started.call.ended = true;
         cancelRest(started.call);
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -301,6 +301,11 @@
         balancer.discoveryFailed(queue.nowUs());
     }
 
+    @Override
+    public void turnedAway() {
+        balancer.discoveryTurnedAway();
+    }
+
     @Override
     public void reached() {
         balancer.discoveryReached();
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -222,6 +222,11 @@
         tell(null, () -> balancer.discoveryFailed(clock.nowUs()));
     }
 
+    @Override
+    public void turnedAway() {
+        tell(null, balancer::discoveryTurnedAway);
+    }
+
     @Override
     public void reached() {
         tell(null, balancer::discoveryReached);
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -26,6 +26,9 @@
     private static final long LATEST_CHANGE_US =
             TimeUnit.MILLISECONDS.toMicros(WatchBudget.EMPTY_LINE_EVERY_MS);
 
+    /** A refusal that takes longer may be one of a discovery that is down. */
+    private static final long TURNED_AWAY_AT_ONCE_US = TimeUnit.SECONDS.toMicros(1);
+
     private static final int OK = 200;
 
     /** Below are refusals that say something of the call; above, of discovery's own state. */
@@ -64,6 +67,9 @@
         /** A connection to it stands, whatever comes of it. */
         void reached();
 
+        /** It has turned a call away at once. */
+        void turnedAway();
+
         /** It is found at another address from now on. */
         void moved();
     }
@@ -196,6 +202,9 @@
         if (!current.ok) {
             // It may no longer know the version asked for.
             whole = status < FIRST_SERVER_ERROR;
+            if (nowUs - current.begunUs < TURNED_AWAY_AT_ONCE_US) {
+                listener.turnedAway();
+            }
             giveUp("answered " + status);
         }
     }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -241,4 +241,31 @@
         assertTrue(lease.usable((8_000 + MOVE_TOLD_MS) * MS));
         assertFalse(lease.usable((8_000 + MOVE_TOLD_MS + GRACE_MS) * MS));
     }
+
+    @Test
+    void aServerThatAcceptsIsUsedWithoutAListOnlyWhileDiscoveryGivesNoSign() {
+        Proxy p = new Proxy(setup()).with("a");
+        p.logic.discoveryFailed(p.now);
+        for (int i = 0; i < 200; i++) {
+            p.serve();
+        }
+        assertNotNull(p.at(p.request(Proxy.SAFE)));
+        p.logic.discoveryTurnedAway();
+        assertNull(p.at(p.request(Proxy.SAFE)));
+    }
+
+    @Test
+    void aServerThatAcceptsIsNotUsedWithoutAListAfterAMove() {
+        Proxy p = new Proxy(setup()).with("a");
+        p.logic.discoveryMoved(p.now, p.now);
+        long moved = p.now;
+        while (p.now < moved + (MOVE_TOLD_MS + GRACE_MS) * MS) {
+            String r = p.request(Proxy.SAFE);
+            if (p.at(r) != null) {
+                p.end(r, Outcome.OK);
+            }
+            p.pass(50);
+        }
+        assertNull(p.at(p.request(Proxy.SAFE)));
+    }
 }
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -167,9 +167,21 @@
 
     @Test
     void aDrainThatAnEmptyLineCameAfterCountsFromWhenDiscoveryHadIt() throws Exception {
+        assertEquals(200, ask());
+        fault("do = 'tell_late', by = '1h'");
+        drainUntold();
+        missTheDrainAfterAnEmptyLine();
+    }
+
+    @Test
+    void aDrainThatAnEmptyLineCameAfterCountsSoThoughItsServerAccepts() throws Exception {
         assertEquals(200, ask());
         fault("do = 'tell_late', by = '1h'");
         drainAcceptingUntold(TOLD_AFTER_MS);
+        missTheDrainAfterAnEmptyLine();
+    }
+
+    private void missTheDrainAfterAnEmptyLine() throws Exception {
         serveFor(EMPTY_LINE_EVERY_MS);
         fault("do = 'overload'");
         fault("do = 'break'");
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -27,6 +27,7 @@
     private final List<Long> pending = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
     private int lost;
+    private int turnedAway;
     private long now = 100 * S;
     private long call;
 
@@ -86,6 +87,11 @@
         @Override
         public void reached() {}
 
+        @Override
+        public void turnedAway() {
+            turnedAway++;
+        }
+
         @Override
         public void moved() {}
     }
@@ -296,6 +302,18 @@
         assertTrue(called.get(2).endsWith("from=9"), called::toString);
     }
 
+    /** One that is down has a call wait for seconds before it is turned away. */
+    @Test
+    void aCallThatIsTurnedAwayAtOnceShowsThatDiscoveryIsThere() {
+        watch.watch(now);
+        watch.answered(now + 20 * MS, call, 503);
+        assertEquals(1, turnedAway);
+        now += S;
+        watch.watch(now);
+        watch.answered(now + 2 * S, call, 503);
+        assertEquals(1, turnedAway);
+    }
+
     private long lastAsOfUs() {
         return currencies.get(currencies.size() - 1).asOfUs();
     }
