Say why a connection to discovery failed, which its close had hidden in the log

Since the watch became a state machine a refused connection was logged as 'its connection was closed': Netty closes the channel before the listener that was to name the cause. The close names it now (seen: 'Connection refused'). Nothing is decided by it.

--- a/src/main/java/passhatch/proxy/discovery/Discovery.java
+++ b/src/main/java/passhatch/proxy/discovery/Discovery.java
@@ -106,14 +106,15 @@
                     if (done.isSuccess()) {
                         watch.connected(call);
                         channel.writeAndFlush(get(path));
-                    } else {
-                        watch.failed(call, done.cause().getMessage());
                     }
                 });
         channel.closeFuture()
                 .addListener(
                         closed -> {
                             channels.remove(call);
+                            if (connecting.cause() != null) {
+                                watch.failed(call, connecting.cause().getMessage());
+                            }
                             watch.closed(clock.nowUs(), call);
                         });
     }
