Ask once whether something told is not taken in, and drop a question that nobody asks

The lease checked what is pending or unread twice for each server, in both forms of usable: the list's own bound stands by itself now, and the form without a server is the other one with none accepted. DiscoveryModel.runs had no caller.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -165,13 +165,16 @@
      */
     boolean usable(long nowUs, long acceptedUs) {
         return nowUs < lastSendUs(Math.min(pendingSinceUs, unreadSinceUs))
-                && (usable(nowUs) || byAcceptance(nowUs, acceptedUs));
+                && (byList(nowUs) || byAcceptance(nowUs, acceptedUs));
     }
 
-    /** Whether servers may be sent requests by the list. */
+    /** Whether servers may be sent requests by the list alone. */
     boolean usable(long nowUs) {
-        return nowUs < lastSendUs(Math.min(pendingSinceUs, unreadSinceUs))
-                && (nowUs < watchedUntilUs || nowUs < usableUntilUs(nowUs));
+        return usable(nowUs, NEVER);
+    }
+
+    private boolean byList(long nowUs) {
+        return nowUs < watchedUntilUs || nowUs < usableUntilUs(nowUs);
     }
 
     /** After a move what discovery has counts as told soon, whether it can be reached or not. */
--- a/src/main/java/passhatch/lab/drain/DiscoveryModel.java
+++ b/src/main/java/passhatch/lab/drain/DiscoveryModel.java
@@ -168,10 +168,6 @@
         return "SERVING".equals(statuses.get(server));
     }
 
-    boolean runs(String server) {
-        return statuses.containsKey(server) && !"DELETED".equals(statuses.get(server));
-    }
-
     Mode mode() {
         return mode;
     }
