--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -1,14 +1,23 @@
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
- * Five agents: n1, n2 and n3 vote, n4 and n5 stand for the duty "release". n4 holds it. Then a second
- * process starts under the name n4, on another address of the list and with an empty store, as after a
- * machine was set back to its image or copied. Each process is asked "act release" again and again.
+ * Two proxies, six backends, steady clients; lists are asked for. All watches are reset, and discovery has too
+ * many callers for 24 s: each call waits 2.9 s in line, and those of the proxies end in 503 then. Another
+ * caller's are answered all the time. 0.8 s after the reset a backend is deleted; it still answers.
  */
 final class Case8 {
 
-    private static final long WATCH_US = 70_000_000;
+    /** A change counts as told at the latest so long after discovery had it and could be reached. */
+    private static final long TOLD_WITHIN_US = 6_000_000;
+
+    private static final long GRACE_US = 750_000;
+
+    /** Every time limit is 50 ms longer; a proxy may be held up for up to 150 ms; the rest is ours. */
+    private static final long SLACK_US = 300_000;
 
     private Case8() {}
 
@@ -17,51 +26,102 @@
     }
 
     private static boolean run(Kit kit) throws Exception {
-        List<Agent> agents = new ArrayList<>();
-        for (int i = 1; i <= 5; i++) {
-            agents.add(new Agent(kit, "n" + i, "n" + i));
-        }
-        // Without the disruption the sixth machine has a name of its own.
-        Agent second = new Agent(kit, "second", kit.trouble ? "n4" : "n6");
-        List<Agent> members = new ArrayList<>(agents);
-        members.add(second);
-        String voters = "[duties]\nvoters = [\"n1\", \"n2\", \"n3\"]\nwanted = [";
-        for (Agent agent : members) {
-            boolean stands = members.indexOf(agent) >= 3;
-            agent.configure(members, voters + (stands ? "\"release\"" : "") + "]\n");
+        Discovery discovery = new Discovery(kit);
+        List<Backend> backends = new ArrayList<>();
+        for (int i = 1; i <= 6; i++) {
+            Backend backend = new Backend(kit, "b" + i);
+            backends.add(backend);
+            discovery.set(backend.name, backend.port, "SERVING");
         }
-        for (Agent voter : agents.subList(0, 3)) {
-            voter.start();
+        List<Proxy> proxies = new ArrayList<>();
+        Client clients = new Client(kit);
+        for (int i = 0; i < 2; i++) {
+            Proxy proxy = new Proxy(kit, "proxy" + (i + 1));
+            proxies.add(proxy);
+            proxy.configure(discovery.port, "on_request", 2, i, discovery.list(true, 0));
+            proxy.start(discovery.port);
         }
-        for (Agent voter : agents.subList(0, 3)) {
-            voter.awaitStarted();
-            if (!voter.ask("found").equals("done")) {
-                throw new Kit.NotRun("found at " + voter.label);
+        for (Proxy proxy : proxies) {
+            proxy.awaitReady();
+            for (int i = 0; i < 6; i++) {
+                clients.start(
+                        proxy.port,
+                        List.of("policy-lookup", "loss-notice", "claim-settle").get(i % 3),
+                        i % 3 == 2 ? 4_000 : 1_500,
+                        60);
             }
         }
-        Agent holder = agents.get(3);
-        holder.start();
-        holder.awaitStarted();
-        Kit.await("n4 holds the duty", 20_000, () -> holder.ask("act release").startsWith("done"));
-        kit.note("n4 on 'act release': " + holder.ask("act release"));
-        agents.get(4).start();
-        agents.get(4).awaitStarted();
-        Thread.sleep(5_000);
+        Thread.sleep(6_000);
+        if (kit.trouble) {
+            discovery.callDelayMs = 2_900;
+            discovery.callsFail = true;
+            discovery.resetWatches();
+        }
+        Thread.sleep(800);
+        Backend drained = backends.get(0);
+        long toldUs =
+                discovery.set(drained.name, drained.port, "DELETED") + (kit.trouble ? TOLD_WITHIN_US : 0);
+        Thread other = new Thread(() -> callDiscovery(kit, discovery));
+        other.setDaemon(true);
+        other.start();
+        Thread.sleep(24_000);
+        discovery.callsFail = false;
+        discovery.callDelayMs = 0;
+        Thread.sleep(4_000);
+        clients.stopped = true;
+        Thread.sleep(500);
 
-        HolderWatch watch = new HolderWatch(kit, "release", members.subList(3, 6));
-        second.start();
-        second.awaitStartedOrGivingWay();
-        long endUs = Kit.nowUs() + WATCH_US;
-        boolean broken = false;
-        while (!broken && Kit.nowUs() < endUs) {
-            Thread.sleep(500);
-            broken = !watch.oneActed();
+        int late = 0;
+        long lastUs = toldUs;
+        for (Backend.Arrival arrival : drained.arrivals) {
+            if (arrival.firstByteUs() > toldUs + GRACE_US + SLACK_US) {
+                late++;
+                kit.detail(
+                        arrival.firstByteUs(),
+                        String.format(
+                                "LATE SEND: %s, %.3f s after the change counted as told",
+                                arrival.id(), (arrival.firstByteUs() - toldUs) / 1e6));
+            }
+            lastUs = Math.max(lastUs, arrival.firstByteUs());
         }
-        Thread.sleep(1_000);
-        watch.stop();
-        for (Agent agent : members) {
-            kit.noteLog(agent.label, "duty acquired", "duty lost", "identity");
+        long served = clients.sent.stream().filter(s -> s.status() == 200).count();
+        kit.note(clients.sent.size() + " requests sent, " + served + " served");
+        kit.note(
+                String.format(
+                        "%s got %d requests later than %.2f s after its end counted as told; the last"
+                                + " %.3f s after it",
+                        drained.name, late, (GRACE_US + SLACK_US) / 1e6, (lastUs - toldUs) / 1e6));
+        if (served < clients.sent.size() / 2 && !kit.trouble) {
+            throw new Kit.NotRun("too few were served");
+        }
+        for (Proxy proxy : proxies) {
+            kit.noteLog(proxy.name, "discovery:", "the list of servers");
+        }
+        return late == 0;
+    }
+
+    /** Another caller of discovery: its answers show that discovery has the change and can be reached. */
+    private static void callDiscovery(Kit kit, Discovery discovery) {
+        long endUs = Kit.nowUs() + 24_000_000;
+        while (Kit.nowUs() < endUs) {
+            try (Socket socket = new Socket("127.0.0.1", discovery.port)) {
+                socket.getOutputStream()
+                        .write(
+                                "GET /v1/endpoints HTTP/1.1\r\nHost: discovery\r\n\r\n"
+                                        .getBytes(StandardCharsets.US_ASCII));
+                HttpReader reader = new HttpReader(socket.getInputStream());
+                if (reader.readHead()) {
+                    String list = new String(reader.readBody(false), StandardCharsets.US_ASCII);
+                    kit.note(
+                            "another caller of discovery: " + reader.startLine + ", "
+                                    + list.substring(0, list.indexOf("endpoints")));
+                }
+                Thread.sleep(500);
+            } catch (IOException failed) {
+                kit.note("another caller of discovery: " + failed);
+            } catch (InterruptedException interrupted) {
+                return;
+            }
         }
-        return !broken;
     }
 }
--- a/review/lib-2/Discovery.java
+++ b/review/lib-2/Discovery.java
@@ -28,6 +28,9 @@
     /** How long each call waits before it is answered. */
     volatile long callDelayMs;
 
+    /** Whether a call for a watch that has waited ends in 503, as one that waited too long. */
+    volatile boolean callsFail;
+
     Discovery(Kit kit) throws IOException {
         this.kit = kit;
         ServerSocket listener = new ServerSocket();
@@ -98,6 +101,13 @@
                 kit.note("discovery is called: " + path);
                 Thread.sleep(callDelayMs);
                 OutputStream out = socket.getOutputStream();
+                if (callsFail && path.contains("watch=1")) {
+                    out.write(
+                            "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+                                    .getBytes(StandardCharsets.US_ASCII));
+                    kit.note("discovery has answered a call with 503");
+                    continue;
+                }
                 if (!path.contains("watch=1")) {
                     String list = list(true, 0);
                     out.write(
