--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -10,17 +10,21 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * One proxy, one backend whose answers have 200 kB. The backend takes a request, gives the first half of
- * its answer, hangs for 12 s, and gives the rest.
+ * One proxy, twelve backends whose answers have 200 kB. One backend hangs for 12 s: it takes requests, gives
+ * the first half of each answer, and the rest when the 12 s are over.
  */
 final class Case10 {
 
     private static final int ANSWER_BYTES = 200_000;
     private static final long HANG_MS = 12_000;
-    private static final int REQUESTS = 5;
+    private static final int BACKENDS = 12;
+    private static final int REQUESTS = 60;
+    private static final long PERIOD_MS = 25;
 
     private record Answer(String id, int status, int bytes, boolean whole, long tookUs) {}
 
+    private static volatile long hangEndsUs;
+
     private Case10() {}
 
     public static void main(String[] args) throws Exception {
@@ -36,53 +40,60 @@
     }
 
     private static boolean run(Kit kit) throws Exception {
-        long hangMs = kit.trouble ? HANG_MS : 100;
-        List<String> given = new CopyOnWriteArrayList<>();
-        ServerSocket listener = new ServerSocket();
-        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 64);
-        Backend.daemon(
-                () -> {
-                    while (true) {
-                        try {
-                            Socket socket = listener.accept();
-                            Backend.daemon(() -> serve(kit, socket, hangMs, given));
-                        } catch (IOException failed) {
-                            kit.note("accept failed: " + failed);
-                        }
-                    }
-                });
         Discovery discovery = new Discovery(kit);
-        discovery.set("b1", listener.getLocalPort(), "SERVING");
+        for (int i = 1; i <= BACKENDS; i++) {
+            String name = "b" + i;
+            boolean hangs = kit.trouble && i == 1;
+            ServerSocket listener = new ServerSocket();
+            listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 64);
+            Backend.daemon(
+                    () -> {
+                        while (true) {
+                            try {
+                                Socket socket = listener.accept();
+                                Backend.daemon(() -> serve(kit, name, socket, hangs));
+                            } catch (IOException failed) {
+                                kit.note("accept failed: " + failed);
+                            }
+                        }
+                    });
+            discovery.set(name, listener.getLocalPort(), "SERVING");
+        }
         Proxy proxy = new Proxy(kit, "proxy1");
         proxy.configure(discovery.port, "on_request", 1, 0, discovery.list(true, 0));
         proxy.start(discovery.port);
         proxy.awaitReady();
         Thread.sleep(1_000);
 
+        hangEndsUs = Kit.nowUs() + HANG_MS * 1_000;
+        kit.note(kit.trouble ? "b1 hangs for " + HANG_MS + " ms" : "no backend hangs");
         List<Answer> answers = new CopyOnWriteArrayList<>();
         for (int i = 0; i < REQUESTS; i++) {
             Backend.daemon(() -> answers.add(ask(kit, proxy.port)));
-            Thread.sleep(200);
+            Thread.sleep(PERIOD_MS);
         }
-        Thread.sleep(hangMs + 8_000);
+        Thread.sleep(HANG_MS + 6_000);
         kit.noteLog(proxy.name, "aborted", "no more data");
-        for (String line : given) {
-            kit.note(line);
-        }
-        if (answers.size() < REQUESTS) {
-            kit.note((REQUESTS - answers.size()) + " requests have no answer yet");
+        long whole = answers.stream().filter(Answer::whole).count();
+        long cut = answers.stream().filter(a -> a.status() == 200 && !a.whole()).count();
+        kit.note(
+                answers.size() + " of " + REQUESTS + " requests have ended: " + whole
+                        + " answered whole, " + cut + " cut off");
+        if (whole == 0) {
+            throw new Kit.NotRun("no request was served");
         }
-        return answers.size() == REQUESTS && answers.stream().allMatch(Answer::whole);
+        return answers.size() == REQUESTS && cut == 0;
     }
 
-    private static void serve(Kit kit, Socket socket, long hangMs, List<String> given) {
+    private static void serve(Kit kit, String name, Socket socket, boolean hangs) {
+        String id = "";
         try (socket) {
             socket.setTcpNoDelay(true);
             HttpReader reader = new HttpReader(socket.getInputStream());
             while (reader.readHead()) {
                 reader.readBody(false);
-                String id = reader.headers.get("x-request-id");
-                kit.note("b1 runs " + id);
+                id = reader.headers.get("x-request-id");
+                kit.detail(Kit.nowUs(), name + " runs " + id);
                 Thread.sleep(20);
                 byte[] body = answerTo(id);
                 OutputStream out = socket.getOutputStream();
@@ -91,14 +102,18 @@
                                 .getBytes(StandardCharsets.US_ASCII));
                 out.write(body, 0, body.length / 2);
                 out.flush();
-                kit.note("b1 has given the first half of its answer to " + id);
-                Thread.sleep(hangMs);
+                if (hangs) {
+                    kit.note(name + " has given the first half of its answer to " + id);
+                    Thread.sleep(Math.max(0, (hangEndsUs - Kit.nowUs()) / 1_000));
+                }
                 out.write(body, body.length / 2, body.length - body.length / 2);
                 out.flush();
-                kit.note("b1 has given the rest of its answer to " + id);
+                if (hangs) {
+                    kit.note(name + " has given the rest of its answer to " + id);
+                }
             }
         } catch (IOException | InterruptedException ended) {
-            given.add("b1 could not give the rest of an answer: " + ended);
+            kit.note(name + " could not give the rest of its answer to " + id + ": " + ended);
         }
     }
 
@@ -130,7 +145,11 @@
                         body.length,
                         status == 200 && Arrays.equals(body, answerTo(id)),
                         Kit.nowUs() - sentUs);
-        kit.note((answer.whole() ? "answered whole: " : "LOST: ") + answer + " " + end);
+        if (answer.whole()) {
+            kit.detail(Kit.nowUs(), "answered whole: " + answer);
+        } else {
+            kit.note((status == 200 ? "LOST: " : "not served: ") + answer + " " + end);
+        }
         return answer;
     }
 }
