Review: the other callers of cases 8 and 9 come at random, and the counts with them

Cause: evenly spaced callers took nearly all places of the line: of the proxies' calls 3 of some 80 were answered, of the others' one in seven.

--- a/review/lib-2/Discovery.java
+++ b/review/lib-2/Discovery.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -125,10 +126,14 @@
         kit.note("discovery has " + CALLERS_PER_S + " other callers a second");
         Backend.daemon(
                 () -> {
+                    Random random = new Random(1);
+                    double nextUs = Kit.nowUs();
                     while (Kit.nowUs() < endUs) {
                         Backend.daemon(this::callAsAnother);
+                        // Arrivals at random: evenly spaced ones would all but take the line's places.
+                        nextUs -= Math.log(1 - random.nextDouble()) * 1e6 / CALLERS_PER_S;
                         try {
-                            Thread.sleep(1_000 / CALLERS_PER_S);
+                            Thread.sleep(Math.max(0, (long) (nextUs - Kit.nowUs()) / 1_000));
                         } catch (InterruptedException interrupted) {
                             return;
                         }
