Admit request bodies to memory before they are read, so that a jump cannot use up the heap

A long body is kept until the module has a server for it. Nothing bounded how many are kept, and the growing array behind each takes up to twice its bytes, so the need grows with the number of clients. BufferBudget counted the bytes and not the arrays, and was never asked before a body was read.

Change: BodyAdmission reserves the space that a body may need before the body is read, in order of arrival, up to a third of the heap; a body of one read is always admitted. Who cannot be admitted within 80 ms is refused with Retry-After, and the rest of the body is read and dropped. Bodies are kept in blocks that are charged in full and sent without another copy, and a relay passes a body to the channel in parts of one read, since the channel copies what it is given. A body that has ended no longer resumes the reading of the next request on its connection.

--- a/src/main/java/passhatch/lab/standin/BackendServer.java
+++ b/src/main/java/passhatch/lab/standin/BackendServer.java
@@ -42,7 +42,7 @@
      */
     private static final long DRAIN_GRACE_NS = TimeUnit.MILLISECONDS.toNanos(750 + 50);
 
-    private static final int MAX_REQUEST_BODY_BYTES = 1 << 16;
+    private static final int MAX_REQUEST_BODY_BYTES = 1 << 23;
 
     /**
      * Capacity of a backend.
--- a/src/main/java/passhatch/proxy/BackendRequests.java
+++ b/src/main/java/passhatch/proxy/BackendRequests.java
@@ -1,6 +1,6 @@
 package passhatch.proxy;
 
-import io.netty.buffer.Unpooled;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -33,15 +33,13 @@
                 message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
         } else {
-            byte[] buffered = body.replayableBytes();
+            ByteBuf bytes = body.replayableBytes();
+            int length = bytes.readableBytes();
             message =
                     new DefaultFullHttpRequest(
-                            HttpVersion.HTTP_1_1,
-                            request.method(),
-                            request.uri(),
-                            Unpooled.wrappedBuffer(buffered));
-            if (!request.method().equals(HttpMethod.GET) || buffered.length > 0) {
-                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, buffered.length);
+                            HttpVersion.HTTP_1_1, request.method(), request.uri(), bytes);
+            if (!request.method().equals(HttpMethod.GET) || length > 0) {
+                message.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
             }
         }
         message.headers()
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -88,6 +88,9 @@
      */
     private static final long MAX_UPLOAD_US = 600_000_000;
 
+    /** Value of the Retry-After header, in microseconds, if there is no memory for a request. */
+    private static final long MEMORY_RETRY_AFTER_US = 250_000;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
@@ -98,6 +101,7 @@
     private final Balancer balancer;
     private final int maxAttempts;
     private final List<RequestClass> classes;
+    private final long maxRetryAfterUs;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final BackendTable backends = new BackendTable();
     private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
@@ -150,6 +154,7 @@
         this.stallDetector = stallDetector;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.classes = config.settings().classes();
+        this.maxRetryAfterUs = config.settings().limits().maxRetryAfterUs();
         this.discovery =
                 new DiscoveryClient(
                         loop,
@@ -319,6 +324,13 @@
         return true;
     }
 
+    @Override
+    public ProxyResponse refuseUnadmitted(ProxyRequest request) {
+        log.trace("not-admitted", request.id(), request.body().declaredLength());
+        metrics.countRequest(request.requestClass(), ProxyMetrics.RequestResult.REFUSED);
+        return ProxyResponse.refused(Math.min(MEMORY_RETRY_AFTER_US, maxRetryAfterUs));
+    }
+
     @Override
     public void bodyCompleted(String id, long unreadUs) {
         Exchange exchange = exchanges.get(id);
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.RequestClass;
@@ -26,6 +27,7 @@
 import passhatch.proxy.client.HttpFrontend;
 import passhatch.proxy.client.RequestParser;
 import passhatch.proxy.control.Control;
+import passhatch.proxy.flow.BodyAdmission;
 import passhatch.proxy.flow.BufferBudget;
 
 /** A proxy process, from start to shutdown. */
@@ -55,6 +57,18 @@
      */
     private static final long BUFFER_MEMORY_DIVISOR = 36;
 
+    /**
+     * The limit on the heap is at most the configured memory divided by this, as {@code
+     * deploy/serve.sh} sets it.
+     */
+    private static final long HEAP_MEMORY_DIVISOR = 3;
+
+    /**
+     * Request bodies are admitted while this fraction of the heap, as a divisor, holds all that is
+     * buffered.
+     */
+    private static final long ADMISSION_HEAP_DIVISOR = 3;
+
     /** Exit status of a process whose event loop has died. */
     private static final int LOOP_DIED_EXIT_STATUS = 70;
 
@@ -236,6 +250,7 @@
                                 config.tenantNames()),
                         proxyLoop,
                         bufferBudget,
+                        new BodyAdmission(bufferBudget, maxAdmittedBytes(config), loop),
                         descriptorLimits,
                         stallDetector);
         controlServer = new Control(loop, log, this::checkReady, proxyLoop::metricsText);
@@ -256,6 +271,14 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private static long maxAdmittedBytes(ProxyConfig config) {
+        long heapBytes =
+                Math.min(
+                        Runtime.getRuntime().maxMemory(),
+                        config.memoryBytes() / HEAP_MEMORY_DIVISOR);
+        return heapBytes / ADMISSION_HEAP_DIVISOR;
+    }
+
     /**
      * Schedules the next tick of the stall detector. Each tick schedules the one after it, so that
      * a stall is counted only once.
@@ -339,6 +362,13 @@
         return text.toString();
     }
 
+    /** Returns the number of bytes that are buffered for all connections together. */
+    long bufferedBytes() throws InterruptedException {
+        AtomicLong bytes = new AtomicLong();
+        loop.submit(() -> bytes.set(bufferBudget.bufferedBytes())).sync();
+        return bytes.get();
+    }
+
     /** Returns whether the event loop has begun to shut down, in an orderly way or not. */
     boolean isShuttingDown() {
         return loop.isShuttingDown();
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -1,7 +1,6 @@
 package passhatch.proxy.backend;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -685,7 +684,7 @@
         private final OutgoingRequest request;
         private final HttpResponse head;
         private final long declaredLength;
-        private final BufferedBytes buffered = new BufferedBytes(budget);
+        private final BufferedBytes buffered;
         private final Future<?> bufferingTimer;
         private Future<?> idleTimer;
 
@@ -706,6 +705,7 @@
             this.request = request;
             this.head = head;
             this.declaredLength = HttpUtil.getContentLength(head, -1L);
+            this.buffered = new BufferedBytes(budget, declaredLength);
             this.malformed =
                     head.decoderResult().isFailure()
                             || connection.decoder.malformed()
@@ -825,7 +825,7 @@
                             },
                             client,
                             listener);
-            relay.forward(Unpooled.wrappedBuffer(buffered.take()));
+            relay.forward(buffered.takeView());
             if (fullyReceived && relay != null) {
                 relay.finish();
             }
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -59,6 +59,16 @@
      */
     private static final double MIN_BODY_BYTES_PER_US = 0.032;
 
+    /**
+     * Maximum time in microseconds for which a request waits until its body is admitted to memory.
+     * Meanwhile the client is not read, so its disconnect is not seen, and no attempt may begin
+     * later than 0.1 s after a disconnect.
+     */
+    private static final long MAX_ADMISSION_WAIT_US = 80_000;
+
+    /** The wait for admission is at most the time that the client allows, divided by this. */
+    private static final long ADMISSION_WAIT_DIVISOR = 8;
+
     private final HttpFrontend frontend;
     private final Channel channel;
     private final EventLoop loop;
@@ -175,6 +185,16 @@
 
         boolean accepted;
         boolean wantsContinue;
+
+        /** Refuses the request if its body is not admitted in time; null if it need not wait. */
+        Future<?> admissionTimer;
+
+        /** Time in microseconds for which the request waited for the admission of its body. */
+        long admissionWaitUs;
+
+        /** Whether the request was refused because its body was not admitted. */
+        boolean notAdmitted;
+
         ProxyResponse response;
         ResponseStream stream;
         Relay.Listener streamListener;
@@ -222,6 +242,13 @@
             return response != null || stream != null;
         }
 
+        void cancelAdmissionTimer() {
+            if (admissionTimer != null) {
+                admissionTimer.cancel(false);
+                admissionTimer = null;
+            }
+        }
+
         /**
          * Abandons the request: notifies the {@link RequestHandler} if it has accepted the request,
          * and drops the request's body otherwise.
@@ -230,6 +257,7 @@
             if (request != null) {
                 connection.frontend.log().trace("abandoned", request.id(), connection.channel.id());
             }
+            cancelAdmissionTimer();
             if (accepted) {
                 connection.frontend.requests().clientGone(request.id());
             } else if (request != null) {
@@ -367,9 +395,51 @@
         }
         pending.request = request;
         pending.wantsContinue = HttpUtil.is100ContinueExpected(head);
+        requestAdmission(pending, HttpUtil.isTransferEncodingChunked(head));
         sendContinue();
     }
 
+    // ---- admission of bodies
+
+    private void requestAdmission(PendingRequest pending, boolean chunked) {
+        RequestBody body = pending.request.body();
+        long sinceUs = frontend.nowUs();
+        body.reserve(
+                frontend.bodyAdmission(),
+                chunked || body.declaredLength() > 0,
+                () -> onAdmitted(pending, sinceUs));
+        if (!body.admitted()) {
+            pending.admissionTimer =
+                    loop.schedule(
+                            () -> refuseUnadmitted(pending),
+                            Math.min(
+                                    MAX_ADMISSION_WAIT_US,
+                                    pending.request.timeoutUs() / ADMISSION_WAIT_DIVISOR),
+                            TimeUnit.MICROSECONDS);
+        }
+    }
+
+    private void onAdmitted(PendingRequest pending, long sinceUs) {
+        pending.cancelAdmissionTimer();
+        pending.admissionWaitUs = frontend.nowUs() - sinceUs;
+        setBodyReading(true);
+        sendContinue();
+    }
+
+    /** Refuses a request whose body is not admitted in time; the body is read and dropped. */
+    private void refuseUnadmitted(PendingRequest pending) {
+        pending.admissionTimer = null;
+        pending.notAdmitted = true;
+        pending.wantsContinue = false;
+        pending.request.body().drop();
+        pending.respond(frontend.requests().refuseUnadmitted(pending.request));
+    }
+
+    /** Returns how long the request may have waited unread, in microseconds. */
+    private long unreadUs(PendingRequest pending) {
+        return Math.max(frontend.unreadUs(), pending.admissionWaitUs);
+    }
+
     private static RequestParser.BadRequestException bodyTooLarge() {
         return new RequestParser.BadRequestException(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
@@ -405,8 +475,11 @@
         if (last) {
             body.end();
         }
+        if (pending.notAdmitted) {
+            return;
+        }
         if (!pending.accepted && (last || body.isLong())) {
-            if (!frontend.requests().accept(pending.request, frontend.unreadUs(), pending)) {
+            if (!frontend.requests().accept(pending.request, unreadUs(pending), pending)) {
                 throw new RequestParser.BadRequestException(
                         HttpResponseStatus.BAD_REQUEST, "X-Request-Id is already in use");
             }
@@ -414,7 +487,7 @@
             frontend.log().trace("on", pending.request.id(), channel.id());
             frontend.markBusy(this);
         } else if (last) {
-            frontend.requests().bodyCompleted(pending.request.id(), frontend.unreadUs());
+            frontend.requests().bodyCompleted(pending.request.id(), unreadUs(pending));
         }
     }
 
@@ -423,6 +496,7 @@
         incoming = null;
         requestStarted = false;
         bodyPaused = false;
+        updateReading();
         cancelReadTimeout();
         frontend.markBusy(this);
         if (closeAfterBody) {
@@ -493,7 +567,7 @@
      */
     private void sendContinue() {
         PendingRequest next = pendingRequests.peek();
-        if (next != null && next.wantsContinue) {
+        if (next != null && next.wantsContinue && next.request.body().admitted()) {
             next.wantsContinue = false;
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -21,6 +21,7 @@
 import passhatch.proxy.base.DescriptorLimits;
 import passhatch.proxy.base.EventLog;
 import passhatch.proxy.base.StallDetector;
+import passhatch.proxy.flow.BodyAdmission;
 import passhatch.proxy.flow.BufferBudget;
 import passhatch.proxy.flow.Relay;
 import passhatch.proxy.flow.RequestBody;
@@ -61,6 +62,7 @@
     private final RequestParser parser;
     private final RequestHandler requests;
     private final BufferBudget budget;
+    private final BodyAdmission bodyAdmission;
     private final DescriptorLimits descriptors;
     private final StallDetector stallDetector;
 
@@ -92,6 +94,7 @@
      * Creates a server that does not listen yet.
      *
      * @param budget limits the bytes of client input, including request bodies, that are buffered
+     * @param bodyAdmission admits request bodies to memory
      * @param descriptors counts the open connections, both those of clients and those to backends;
      *     if a new client connection exceeds the limit, one client connection is closed
      * @param stallDetector measures how long the event loop was stalled
@@ -103,6 +106,7 @@
             RequestParser parser,
             RequestHandler requests,
             BufferBudget budget,
+            BodyAdmission bodyAdmission,
             DescriptorLimits descriptors,
             StallDetector stallDetector) {
         this.loop = loop;
@@ -111,6 +115,7 @@
         this.parser = parser;
         this.requests = requests;
         this.budget = budget;
+        this.bodyAdmission = bodyAdmission;
         this.descriptors = descriptors;
         this.stallDetector = stallDetector;
     }
@@ -280,6 +285,10 @@
         return new RequestBody(loop, budget, declared, source);
     }
 
+    BodyAdmission bodyAdmission() {
+        return bodyAdmission;
+    }
+
     void onConnected(ClientConnection connection) {
         descriptors.addClients(1);
         newConnections.add(connection);
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -35,6 +35,12 @@
      */
     boolean accept(ProxyRequest request, long unreadUs, Responder responder);
 
+    /**
+     * Called instead of {@link #accept} if there is no memory for a request's body. Returns the
+     * response, which counts as the end of the request.
+     */
+    ProxyResponse refuseUnadmitted(ProxyRequest request);
+
     /**
      * Called when the body of a request that was accepted earlier has been received completely. The
      * request's timeout starts now.
--- a/src/main/java/passhatch/proxy/flow/BufferBudget.java
+++ b/src/main/java/passhatch/proxy/flow/BufferBudget.java
@@ -1,27 +1,36 @@
 package passhatch.proxy.flow;
 
 /**
- * Counts the bytes of bodies that this process has buffered for all connections together, and
- * compares them with a limit.
+ * Counts the bytes that this process holds in memory for all connections together, and compares
+ * them with a limit. The count covers request bodies, including space that is reserved for bytes
+ * still to come, responses, and input that was read ahead.
  */
 public final class BufferBudget {
 
     private final long maxBytes;
     private long bufferedBytes;
+    private Runnable releaseListener = () -> {};
 
     public BufferBudget(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
-    /**
-     * Adds the given number to the count of buffered bytes; a negative number reduces the count.
-     */
+    /** Sets the action that runs after the count has fallen. */
+    void setReleaseListener(Runnable listener) {
+        releaseListener = listener;
+    }
+
+    /** Adds the given number to the count of buffered bytes. */
     public void add(long bytes) {
         bufferedBytes += bytes;
     }
 
-    void remove(long bytes) {
+    /** Subtracts the given number from the count of buffered bytes. */
+    public void remove(long bytes) {
         bufferedBytes -= bytes;
+        if (bytes > 0) {
+            releaseListener.run();
+        }
     }
 
     /**
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
+import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,12 +27,15 @@
     public static final WriteBufferWaterMark WATER_MARK =
             new WriteBufferWaterMark(1 << 14, 1 << 16);
 
+    /** Maximum number of bytes of a single read or write of a connection. */
+    static final int MAX_READ_BYTES = 1 << 14;
+
     /**
      * Limits the size of a read, as all bytes that were read are buffered until they have been
      * written.
      */
     public static final RecvByteBufAllocator READ_SIZES =
-            new AdaptiveRecvByteBufAllocator(512, 2048, 1 << 14);
+            new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES);
 
     /**
      * A peer may take seconds to read or write; a transfer without any progress for this long
@@ -60,8 +64,21 @@
     private final BufferBudget budget;
     private final Channel target;
     private final Listener listener;
+    private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private Source source;
+
+    /** The number of bytes that were forwarded and have not been written to the channel yet. */
     private long unwrittenBytes;
+
+    /** The part of {@link #unwrittenBytes} that has been passed to the channel. */
+    private long passedBytes;
+
+    /** Whether the source has delivered all bytes. */
+    private boolean finished;
+
+    /** Whether the end of the body has been passed to the channel. */
+    private boolean endPassed;
+
     private boolean progressSinceCheck;
     private boolean ended;
     private Future<?> progressCheck;
@@ -97,25 +114,55 @@
             bytes.release();
             return;
         }
-        int size = bytes.readableBytes();
         progressSinceCheck = true;
-        unwrittenBytes += size;
-        budget.add(size);
-        target.writeAndFlush(new DefaultHttpContent(bytes))
+        unwrittenBytes += bytes.readableBytes();
+        budget.add(bytes.readableBytes());
+        waiting.add(bytes);
+        writeWaiting();
+        if (!ended) {
+            updateReading();
+        }
+    }
+
+    /**
+     * Passes waiting bytes to the channel, in parts that are no larger than a read: the channel
+     * copies them, and its copies are held until they have been written.
+     */
+    private void writeWaiting() {
+        while (!ended && !waiting.isEmpty() && mayPassMore()) {
+            ByteBuf first = waiting.peek();
+            int size = Math.min(MAX_READ_BYTES, first.readableBytes());
+            ByteBuf part = first.readRetainedSlice(size);
+            if (!first.isReadable()) {
+                waiting.poll().release();
+            }
+            write(part, size);
+        }
+        if (!ended && finished && waiting.isEmpty() && !endPassed) {
+            writeEnd();
+        }
+    }
+
+    private boolean mayPassMore() {
+        return passedBytes == 0 || target.isWritable() && !budget.exceeded();
+    }
+
+    private void write(ByteBuf part, int size) {
+        passedBytes += size;
+        target.writeAndFlush(new DefaultHttpContent(part))
                 .addListener(
                         written -> {
+                            passedBytes -= size;
                             unwrittenBytes -= size;
                             budget.remove(size);
                             progressSinceCheck = true;
                             if (!written.isSuccess()) {
                                 end(false);
                             } else if (!ended) {
+                                writeWaiting();
                                 updateReading();
                             }
                         });
-        if (!ended) {
-            updateReading();
-        }
     }
 
     /** Ends the body; called when the source has delivered all bytes. */
@@ -124,6 +171,12 @@
             return;
         }
         source = null;
+        finished = true;
+        writeWaiting();
+    }
+
+    private void writeEnd() {
+        endPassed = true;
         target.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                 .addListener(written -> end(written.isSuccess()));
     }
@@ -133,6 +186,12 @@
         ended = true;
         source = null;
         progressCheck.cancel(false);
+        while (!waiting.isEmpty()) {
+            ByteBuf dropped = waiting.poll();
+            unwrittenBytes -= dropped.readableBytes();
+            budget.remove(dropped.readableBytes());
+            dropped.release();
+        }
     }
 
     private void updateReading() {
--- a/src/main/java/passhatch/proxy/flow/RequestBody.java
+++ b/src/main/java/passhatch/proxy/flow/RequestBody.java
@@ -1,7 +1,6 @@
 package passhatch.proxy.flow;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 
@@ -18,11 +17,18 @@
     /** Maximum size in bytes of the body of a request or a response. */
     public static final int MAX_BYTES = 1 << 25;
 
+    /**
+     * Maximum number of bytes that are buffered before the body is known to be long: the read that
+     * exceeds the limit is buffered in full.
+     */
+    private static final int MAX_BUFFERED_BYTES = MAX_REPLAYABLE_BYTES + Relay.MAX_READ_BYTES;
+
     private final EventLoop loop;
     private final BufferBudget budget;
     private final long declaredLength;
     private final Relay.Source source;
     private final BufferedBytes buffered;
+    private BodyAdmission.Reservation reservation;
     private long size;
     private boolean ended;
 
@@ -41,7 +47,7 @@
             EventLoop loop, BufferBudget budget, long declaredLength, Relay.Source source) {
         this.loop = loop;
         this.budget = budget;
-        this.buffered = new BufferedBytes(budget);
+        this.buffered = new BufferedBytes(budget, Math.min(declaredLength, MAX_BUFFERED_BYTES));
         this.declaredLength = declaredLength;
         this.source = source;
     }
@@ -76,9 +82,34 @@
         return !consumed;
     }
 
-    /** Returns all bytes of a short body, which must be complete. */
-    public byte[] replayableBytes() {
-        return buffered.copy();
+    /**
+     * Reserves space for the part of the body that has to be buffered. The source is paused until
+     * the body is admitted.
+     *
+     * @param bodyExpected whether the request has a body
+     * @param onAdmitted called later if the body has to wait and is then admitted
+     */
+    public void reserve(BodyAdmission admission, boolean bodyExpected, Runnable onAdmitted) {
+        long maxBytes =
+                !bodyExpected
+                        ? 0
+                        : declaredLength < 0
+                                ? MAX_BUFFERED_BYTES
+                                : Math.min(declaredLength, MAX_BUFFERED_BYTES);
+        reservation = admission.reserve(maxBytes, onAdmitted);
+        if (!reservation.admitted()) {
+            setReading(false);
+        }
+    }
+
+    /** Returns whether the body may be read from the client. */
+    public boolean admitted() {
+        return reservation != null && reservation.admitted();
+    }
+
+    /** Returns all bytes of a short body, which must be complete, without copying them. */
+    public ByteBuf replayableBytes() {
+        return buffered.view();
     }
 
     /** Adds bytes from the client; the caller keeps the ownership of the buffer. */
@@ -87,16 +118,31 @@
         if (relay != null) {
             relay.forward(bytes.retain());
         } else if (!consumed) {
+            long chargedBefore = buffered.chargedBytes();
             buffered.add(bytes);
+            useReservation(buffered.chargedBytes() - chargedBefore);
             if (isLong()) {
-                source.setReading(false);
+                setReading(false);
             }
         }
     }
 
+    private void useReservation(long bytes) {
+        if (reservation != null) {
+            reservation.use(bytes);
+        }
+    }
+
+    private void releaseReservation() {
+        if (reservation != null) {
+            reservation.release();
+        }
+    }
+
     /** Marks the body as complete; called when the client has sent all of it. */
     public void end() {
         ended = true;
+        releaseReservation();
         if (relay != null) {
             relay.finish();
         }
@@ -107,8 +153,9 @@
      */
     public void sendTo(Channel backend, Relay.Listener listener) {
         consumed = true;
-        relay = new Relay(loop, budget, source, backend, listener);
-        relay.forward(Unpooled.wrappedBuffer(buffered.take()));
+        releaseReservation();
+        relay = new Relay(loop, budget, this::setReading, backend, listener);
+        relay.forward(buffered.takeView());
         if (ended && relay != null) {
             relay.finish();
         }
@@ -119,15 +166,23 @@
         if (relay != null) {
             relay.stop();
             relay = null;
-            source.setReading(true);
+            setReading(true);
         }
     }
 
     /** Drops the body when it is no longer needed; bytes that still arrive are dropped too. */
     public void drop() {
         consumed = true;
+        releaseReservation();
         stopSending();
         buffered.drop();
-        source.setReading(true);
+        setReading(true);
+    }
+
+    /** Pauses or resumes the source, unless it already delivers the next request. */
+    private void setReading(boolean reading) {
+        if (!ended) {
+            source.setReading(reading);
+        }
     }
 }
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -57,6 +57,7 @@
     private int deadlineUs = 10_000_000;
     private String safeClassName = "board";
     private int sockets = 256;
+    private int memoryMb = 144;
     private String control;
     private boolean indented;
     private String initialList = list(7, true);
@@ -147,6 +148,11 @@
         return this;
     }
 
+    Rig memoryMb(int megabytes) {
+        memoryMb = megabytes;
+        return this;
+    }
+
     Rig sockets(int limit) {
         sockets = limit;
         return this;
@@ -232,7 +238,7 @@
                                 "seed",
                                 "00000000000000ff",
                                 "limits",
-                                Map.of("sockets", sockets),
+                                Map.of("sockets", sockets, "memory_mb", memoryMb),
                                 "known",
                                 JSON.std.mapFrom(initialList),
                                 "settings",
