Stream a response at once while too much is buffered, so that responses are bounded as well

The need grew with the number of requests in flight.

Change: after each read, a 200 response that is not complete is streamed if the budget is exceeded; a body that is not passed on is not kept.

Test: MemoryLimitTest#theResponsesOfManyBackendsAreHeldWithinTheLimitAndEachIsComplete failed before (8,099,584 bytes held of 6,651,904 allowed) and passes; BodiesTest, BackendPoolTest and ForwardingTest pass.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -64,8 +64,8 @@
     private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
     /**
-     * A response of up to this many bytes is buffered until it is complete; a longer one is
-     * streamed.
+     * A response of up to this many bytes is buffered until it is complete, unless too many bytes
+     * are buffered for all connections together; a longer one is streamed.
      */
     private static final int MAX_BUFFERED_BYTES = 1 << 16;
 
@@ -620,6 +620,8 @@
                     ctx.close();
                 }
                 currentResponse.finish(unsolicited);
+            } else if (currentResponse != null) {
+                currentResponse.onReadComplete();
             }
             ctx.fireChannelReadComplete();
         }
@@ -739,11 +741,26 @@
             }
             if (relay != null) {
                 relay.forward(content.content().retain());
-            } else {
+            } else if (hasUsefulBody()) {
                 buffered.add(content.content());
             }
             fullyReceived |= content instanceof LastHttpContent;
-            if (!fullyReceived && buffered.size() > MAX_BUFFERED_BYTES) {
+            if (!fullyReceived && receivedBytes > MAX_BUFFERED_BYTES) {
+                startStreaming();
+            }
+        }
+
+        /** Returns whether the body is passed to the client. */
+        private boolean hasUsefulBody() {
+            return head.status().equals(HttpResponseStatus.OK);
+        }
+
+        /**
+         * Called when everything that has arrived was read. While too many bytes are buffered for
+         * all connections together, no response is kept until it is complete: it is streamed.
+         */
+        void onReadComplete() {
+            if (buffered.size() > 0 && budget.exceeded()) {
                 startStreaming();
             }
         }
@@ -756,7 +773,7 @@
             if (streaming || fullyReceived || malformed || connection.response != this) {
                 return;
             }
-            if (head.status().equals(HttpResponseStatus.OK)) {
+            if (hasUsefulBody()) {
                 streaming = true;
                 connection.channel.config().setAutoRead(false);
                 request.cancelTimeout();
--- a/src/test/java/passhatch/proxy/MemoryLimitTest.java
+++ b/src/test/java/passhatch/proxy/MemoryLimitTest.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +33,9 @@
     /** Less than a body that is streamed, so that the proxy has to keep these bytes. */
     private static final int SENT_FIRST_BYTES = 65_000;
 
+    private static final int RESPONSE_BYTES = 65_000;
+    private static final int RESPONSE_START_BYTES = 60_000;
+
     @TempDir Path folder;
     private Rig rig;
 
@@ -82,4 +87,44 @@
         later.write(Rig.get("later", ""));
         assertEquals(200, later.read().status());
     }
+
+    /**
+     * Guards against responses that are held without a limit: each of many backends sends a part of
+     * a response that could be kept, and none of them goes on until all have.
+     */
+    @Test
+    void theResponsesOfManyBackendsAreHeldWithinTheLimitAndEachIsComplete() throws Exception {
+        CountDownLatch allStarted = new CountDownLatch(CLIENTS);
+        byte[] start = new byte[RESPONSE_START_BYTES];
+        byte[] end = new byte[RESPONSE_BYTES - RESPONSE_START_BYTES];
+        ScriptedServer backend =
+                rig.backend(
+                        (connection, request) -> {
+                            connection.write(
+                                    "HTTP/1.1 200 OK\r\nContent-Length: "
+                                            + RESPONSE_BYTES
+                                            + "\r\n\r\n");
+                            connection.write(start);
+                            allStarted.countDown();
+                            allStarted.await();
+                            connection.write(end);
+                        });
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        List<HttpConnection> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            HttpConnection client = rig.client();
+            client.write(Rig.get("r" + i, ""));
+            clients.add(client);
+        }
+        long maxBytes = 0;
+        while (!allStarted.await(1, TimeUnit.MILLISECONDS)) {
+            maxBytes = Math.max(maxBytes, rig.proxy().bufferedBytes());
+        }
+        for (HttpConnection client : clients) {
+            maxBytes = Math.max(maxBytes, rig.proxy().bufferedBytes());
+            assertEquals(RESPONSE_BYTES, client.read().body().length);
+        }
+        long limit = MAX_ADMITTED_BYTES + (long) CLIENTS * READ_BYTES;
+        assertTrue(maxBytes <= limit, maxBytes + " bytes were held, " + limit + " are allowed");
+    }
 }
