End the process when its event loop ends for any reason, or when the heap is used up

Cause: Netty catches an error that ends a loop, so that the handler of uncaught errors ran only if that failed too, and the handler wrote a stack trace, which allocates, before it ended the process.

Change: LoopGuard also waits for the loop's end and ends the process whatever its log does; -XX:+ExitOnOutOfMemoryError ends a process that is out of heap at once, without allocating, in place of serving on with requests that were dropped by errors.

Test: LoopGuardTest#anErrorThatEndsTheLoopEndsTheProcess, an error in the loop's own code, failed with the handler alone (nothing within 10 s) and passes. The flag is the JVM's own; no test forces it.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -42,6 +42,6 @@
 esac
 
 exec $restore java -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xshare:auto $archive \
-    -Xms24m -Xmx${heap}m \
+    -Xms24m -Xmx${heap}m -XX:+ExitOnOutOfMemoryError \
     -Xss512k -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -XX:MaxDirectMemorySize=${direct}m \
     -Dio.netty.jfr.enabled=false -jar target/passhatch.jar serve
--- a/src/main/java/passhatch/lab/drill/ProxyProcess.java
+++ b/src/main/java/passhatch/lab/drill/ProxyProcess.java
@@ -173,6 +173,7 @@
                         "-Xshare:auto",
                         "-Xms24m",
                         "-Xmx" + heap + "m",
+                        "-XX:+ExitOnOutOfMemoryError",
                         "-Xss512k",
                         "-XX:MaxMetaspaceSize=40m",
                         "-XX:ReservedCodeCacheSize=24m",
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -21,6 +21,7 @@
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.DescriptorLimits;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.LoopGuard;
 import passhatch.proxy.base.NettyLog;
 import passhatch.proxy.base.ReloadSignal;
 import passhatch.proxy.base.StallDetector;
@@ -111,6 +112,9 @@
      */
     private volatile boolean listenFailed;
 
+    /** Whether the event loop has been told to end. */
+    private volatile boolean terminating;
+
     private ProxyServer(ProxyConfig config, EventLog log) {
         this.log = log;
         this.maxDescriptors = config.maxDescriptors();
@@ -137,7 +141,11 @@
             EventLog log = new EventLog(err);
             NettyLog.redirectTo(log);
             server = create(config, log, Logic::new);
-            server.exitWhenLoopDies();
+            new LoopGuard(
+                            log,
+                            () -> server.terminating,
+                            () -> Runtime.getRuntime().halt(LOOP_DIED_EXIT_STATUS))
+                    .watch(server.loop);
             // The signal handlers are set before the proxy listens: a signal may arrive while the
             // first connection is accepted.
             if (!ReloadSignal.handle(() -> server.reload(env))) {
@@ -154,19 +162,6 @@
         return 0;
     }
 
-    /**
-     * Ends the process if its event loop dies, as the process would otherwise stay alive without
-     * serving requests.
-     */
-    private void exitWhenLoopDies() {
-        Thread.UncaughtExceptionHandler exit =
-                (thread, error) -> {
-                    log.bug("in thread " + thread.getName(), error);
-                    Runtime.getRuntime().halt(LOOP_DIED_EXIT_STATUS);
-                };
-        loop.execute(() -> Thread.currentThread().setUncaughtExceptionHandler(exit));
-    }
-
     /**
      * Runs as the shutdown hook. The JVM exits with the signal's status as soon as its hooks have
      * returned, so this hook waits until all requests have a response and then ends the process
@@ -469,6 +464,7 @@
     }
 
     private void terminate() {
+        terminating = true;
         log.write("ending with " + proxyLoop.unansweredCount() + " requests unanswered");
         proxyLoop.stop();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
