Renew the lease on the list by discovery's own messages only, not by servers that answer

Cause: ListLease let a server that had accepted a request within 1.05 s be used without a list, and each acceptance renewed that. In a crowd each call ends in 503 after 3 s, so nothing ended it.

Change: the lease knows nothing of servers. A call that is turned away at once, which ended the use by acceptance, now only lengthens the pause before the next call.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -9,9 +9,8 @@
  * after a change was made, this process is deemed notified of it, even if the notice never arrived.
  * If the change takes a server out of use, requests may be sent to that server only until the drain
  * grace has passed since that time. So this process holds a lease on the list: the lease is valid
- * while a watch is alive, and expires some time after the watch has ended. While nothing shows that
- * discovery can be reached, a server that accepted a request a moment ago may be used without a
- * valid list.
+ * while a watch is alive, and expires some time after the watch has ended. Only discovery's own
+ * messages renew it: a server that accepts requests may drain or be removed all the same.
  *
  * <p>The class reads no clock; all times are in microseconds of one clock.
  */
@@ -43,14 +42,8 @@
      */
     public static final long UNCONFIRMED_START_TIMEOUT_US = 7_000_000;
 
-    /**
-     * How long an accepted request counts as a sign that its server does not drain. In some
-     * deployments a draining server accepts requests for longer than this.
-     */
-    private static final long ACCEPTANCE_VALIDITY_US = 1_200_000;
-
     /** Value of the time of an event that has not happened. */
-    static final long NEVER = Long.MIN_VALUE;
+    private static final long NEVER = Long.MIN_VALUE;
 
     private static final long NOT_PENDING = Long.MAX_VALUE;
 
@@ -61,13 +54,6 @@
     private long rememberedListUsableFromUs = Long.MAX_VALUE;
     private long pendingSinceUs = NOT_PENDING;
     private long unreadSinceUs = NOT_PENDING;
-    private long lastAcceptedSendUs = NEVER;
-
-    /**
-     * True once discovery has rejected a call, which shows that discovery is alive; false again
-     * when the list is confirmed.
-     */
-    private boolean discoveryAlive;
 
     /** A change of discovery's address at some time between two known times. */
     private record AddressChange(long earliestUs, long latestUs) {}
@@ -117,7 +103,6 @@
     void confirm(ListFreshness freshness) {
         watchedUntilUs = freshness.watchedUntilUs();
         pendingSinceUs = NOT_PENDING;
-        discoveryAlive = false;
         setCurrentAsOf(freshness.asOfUs());
     }
 
@@ -129,19 +114,6 @@
         pendingSinceUs = Math.min(pendingSinceUs, sinceUs);
     }
 
-    /**
-     * Records that discovery rejected a call at once: discovery is alive, so this process is deemed
-     * notified of all that discovery has.
-     */
-    void discoveryRejectedCall() {
-        discoveryAlive = true;
-    }
-
-    /** Records that a server accepted a request that was sent at the given time. */
-    void requestAccepted(long sentUs) {
-        lastAcceptedSendUs = Math.max(lastAcceptedSendUs, sentUs);
-    }
-
     /**
      * Records that this process has read nothing from discovery since the given time. This process
      * is deemed notified of the changes that discovery sent after that time.
@@ -183,44 +155,10 @@
         addressChanges.add(new AddressChange(earliestUs, latestUs));
     }
 
-    /** Returns whether requests may be sent to at least one server. */
-    boolean anyServerUsable(long nowUs) {
-        return usable(nowUs, lastAcceptedSendUs);
-    }
-
-    /**
-     * Returns whether requests may be sent to a server.
-     *
-     * @param acceptedUs send time of the latest request that the server accepted, or {@link #NEVER}
-     */
-    boolean usable(long nowUs, long acceptedUs) {
-        return nowUs < sendDeadlineUs(Math.min(pendingSinceUs, unreadSinceUs))
-                && (usableByList(nowUs) || usableByAcceptance(nowUs, acceptedUs));
-    }
-
-    /**
-     * Returns whether requests may be sent to the listed servers because of the list alone,
-     * regardless of which requests these servers have accepted.
-     */
+    /** Returns whether requests may be sent to the listed servers. */
     boolean usable(long nowUs) {
-        return usable(nowUs, NEVER);
-    }
-
-    private boolean usableByList(long nowUs) {
-        return nowUs < watchedUntilUs || nowUs < listUsableUntilUs(nowUs);
-    }
-
-    /**
-     * Returns whether a server may be used because it accepted a request a moment ago. After a
-     * change of discovery's address, the server may not be used for this reason: this process is
-     * then soon deemed notified of all that discovery has, whether or not discovery can be reached.
-     */
-    private boolean usableByAcceptance(long nowUs, long acceptedUs) {
-        return acceptedUs != NEVER
-                && !discoveryAlive
-                && addressChanges.isEmpty()
-                && nowUs < acceptedUs + ACCEPTANCE_VALIDITY_US - MAX_STALL_US
-                && nowUs < sendDeadlineUs(acceptedUs + notifyTimeoutUs);
+        return nowUs < sendDeadlineUs(Math.min(pendingSinceUs, unreadSinceUs))
+                && (nowUs < watchedUntilUs || nowUs < listUsableUntilUs(nowUs));
     }
 
     private long listUsableUntilUs(long nowUs) {
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -472,7 +472,8 @@
 
     @Override
     public void discoveryTurnedAway() {
-        lease.discoveryRejectedCall();
+        // Discovery's queue is full, so this call is repeated later than one that has waited.
+        discoveryFailures++;
     }
 
     @Override
@@ -488,7 +489,7 @@
     @Override
     public boolean mayReach(long nowUs, String serverId) {
         ServerState server = serversById.get(serverId);
-        return server != null && server.up && lease.usable(nowUs, server.lastAcceptedSendUs);
+        return server != null && server.up && lease.usable(nowUs);
     }
 
     // ---- requests and their attempts
@@ -535,7 +536,7 @@
             return;
         }
         logListState(nowUs);
-        if (!lease.anyServerUsable(nowUs)) {
+        if (!lease.usable(nowUs)) {
             waitForList(nowUs, request);
             return;
         }
@@ -562,7 +563,7 @@
 
     /** Logs when the list of servers becomes usable or unusable. */
     private void logListState(long nowUs) {
-        boolean usable = lease.anyServerUsable(nowUs);
+        boolean usable = lease.usable(nowUs);
         if (usable != listUsable) {
             listUsable = usable;
             actions.log(usable ? "the list of servers is in use"
@@ -755,7 +756,7 @@
 
     private boolean isAvailable(long nowUs, RequestState request, ServerState server) {
         return server.cooldownUntilUs <= nowUs && server.admitAtUs <= nowUs
-                && lease.usable(nowUs, server.lastAcceptedSendUs)
+                && lease.usable(nowUs)
                 && mayUse(request, server);
     }
 
@@ -906,9 +907,6 @@
             closeIdle(attempt.server.id);
         }
         recordOutcome(nowUs, attempt.server, outcome);
-        if (outcome == Outcome.OK) {
-            recordAccepted(attempt);
-        }
         if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && !attempt.responseStarted) {
             recordLatency(nowUs, attempt, outcome == Outcome.OK, elapsedUs);
         } else if (outcome == Outcome.FULL) {
@@ -934,11 +932,6 @@
         performDueWork(nowUs);
     }
 
-    private void recordAccepted(Attempt attempt) {
-        attempt.server.lastAcceptedSendUs = Math.max(attempt.server.lastAcceptedSendUs, attempt.sentAtUs);
-        lease.requestAccepted(attempt.sentAtUs);
-    }
-
     private Attempt findOutstandingAttempt(String requestId, int attemptNumber) {
         RequestState request = requests.get(requestId);
         Attempt attempt = request == null || attemptNumber >= request.attempts.size() ? null
@@ -1056,7 +1049,6 @@
         attempt.responseStarted = true;
         attempt.server.inFlight--;
         recordOutcome(nowUs, attempt.server, Outcome.OK);
-        recordAccepted(attempt);
         recordLatency(nowUs, attempt, true, elapsedUs);
         attempt.request.completed = true;
         cancelOutstanding(attempt.request);
--- a/src/main/java/passhatch/ServerState.java
+++ b/src/main/java/passhatch/ServerState.java
@@ -41,9 +41,6 @@
      */
     long turnAtUs;
 
-    /** Send time of the latest request that this server accepted. */
-    long lastAcceptedSendUs = ListLease.NEVER;
-
     int consecutiveFailures;
 
     /**
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -250,16 +250,37 @@
         assertFalse(lease.usable((8_000 + ADDRESS_CHANGE_NOTIFY_TIMEOUT_MS + GRACE_MS) * MS));
     }
 
+    /**
+     * Guards against a removed server that is used for as long as it answers and no call to
+     * discovery gets a response.
+     */
     @Test
-    void anAcceptingServerIsUsedWithoutAListOnlyWhileDiscoveryIsUnreachable() {
-        Proxy proxy = new Proxy(setup()).startWith("a");
-        proxy.balancer.discoveryFailed(proxy.nowUs);
-        for (int i = 0; i < 200; i++) {
-            proxy.serve();
+    void noAnswerOfAServerAndNoFailedCallExtendsTheUseOfTheList() {
+        for (int seed = 0; seed < 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Proxy proxy = new Proxy(setup()).startWith("a", "b");
+            proxy.balancer.discoveryFailed(proxy.nowUs);
+            long expiresUs = proxy.nowUs + (NOTIFY_TIMEOUT_MS + GRACE_MS) * MS;
+            while (proxy.nowUs < expiresUs + 2 * NOTIFY_TIMEOUT_MS * MS) {
+                String request = proxy.request(Proxy.SAFE);
+                if (proxy.lastServerOf(request) != null) {
+                    assertTrue(proxy.nowUs < expiresUs, "seed " + seed);
+                    proxy.endAttempt(request, Outcome.OK);
+                }
+                if (random.nextInt(20) == 0) {
+                    failCall(proxy, random.nextBoolean());
+                }
+                proxy.advance(1 + random.nextInt(100));
+            }
         }
-        assertNotNull(proxy.lastServerOf(proxy.request(Proxy.SAFE)));
-        proxy.balancer.discoveryTurnedAway();
-        assertNull(proxy.lastServerOf(proxy.request(Proxy.SAFE)));
+    }
+
+    private static void failCall(Proxy proxy, boolean atOnce) {
+        proxy.balancer.discoveryReached();
+        if (atOnce) {
+            proxy.balancer.discoveryTurnedAway();
+        }
+        proxy.balancer.discoveryFailed(proxy.nowUs);
     }
 
     @Test
