Take the time limits of receiving a request out of the client's connection

ClientConnection had grown to 740 lines with the admission of bodies. ReadTimeout holds the timer and the limits for head and body as they were; no limit changes.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -39,26 +39,6 @@
      */
     private static final int MAX_PIPELINED = 4;
 
-    /**
-     * Time in microseconds within which the head of a request must be received completely. It
-     * counts from the connect for the first request, and from the start of the request for later
-     * ones. The connection is closed when the time is over. Slow clients take up to 2 s, and a
-     * connection without a complete head must be closed within 3 s.
-     */
-    private static final long HEAD_TIMEOUT_US = 2_500_000;
-
-    /**
-     * Time in microseconds for which a client may pause while it sends a request body, in addition
-     * to the time that the received bytes take at {@link #MIN_BODY_BYTES_PER_US}.
-     */
-    private static final long MAX_BODY_PAUSE_US = 1_500_000;
-
-    /**
-     * Minimum rate of a request body, in bytes per microsecond. It is half of the 64 kB a second
-     * that the slowest clients send, because these clients send in bursts.
-     */
-    private static final double MIN_BODY_BYTES_PER_US = 0.032;
-
     /**
      * Maximum time in microseconds for which a request waits until its body is admitted to memory.
      * Meanwhile the client is not read, so its disconnect is not seen, and no attempt may begin
@@ -73,6 +53,7 @@
     private final Channel channel;
     private final EventLoop loop;
     private final ReadAhead readAhead;
+    private final ReadTimeout readTimeout;
     private final ArrayDeque<PendingRequest> pendingRequests = new ArrayDeque<>();
 
     /**
@@ -81,33 +62,11 @@
      */
     private PendingRequest incoming;
 
-    /** True while the incoming body is not read because its destination is full. */
-    private boolean bodyPaused;
-
-    /**
-     * Timer that closes the connection if a request does not arrive in time. It runs from the
-     * connect, or from the start of a request, until the request has been received completely; null
-     * at other times.
-     */
-    private Future<?> readTimeoutTimer;
-
     /** True while a request has been received in part, but not completely. */
     private boolean requestStarted;
 
     private long idleSinceUs;
 
-    /**
-     * Time in microseconds at which {@link #readTimeoutTimer} was first started for the current
-     * request.
-     */
-    private long awaitingRequestSinceUs;
-
-    /** Time in microseconds at which reading of the current body started or last resumed. */
-    private long readingBodySinceUs;
-
-    /** Number of bytes of the body that were received since {@link #readingBodySinceUs}. */
-    private long receivedBodyBytes;
-
     /**
      * True from the moment at which an invalid request arrives or the proxy begins to close the
      * connection. Further input is then ignored.
@@ -131,6 +90,7 @@
         this.channel = channel;
         this.loop = loop;
         this.readAhead = frontend.newReadAhead();
+        this.readTimeout = frontend.newReadTimeout(channel::close);
     }
 
     /**
@@ -166,7 +126,7 @@
      */
     void closeGracefully() {
         closing = true;
-        cancelReadTimeout();
+        readTimeout.cancel();
         frontend.closing(this);
         LingeringClose.begin(channel);
     }
@@ -266,7 +226,7 @@
         }
     }
 
-    // ---- read timeouts
+    // ---- input
 
     /** Observes the input before it is decoded into requests. */
     final class ReadObserver extends ChannelInboundHandlerAdapter {
@@ -274,71 +234,28 @@
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             if (incoming == null && pendingRequests.isEmpty()) {
                 requestStarted = true;
-                startReadTimeout();
+                readTimeout.start();
             }
             frontend.onBytesReceived(ClientConnection.this);
             ctx.fireChannelRead(bytes);
         }
     }
 
-    private void startReadTimeout() {
-        if (readTimeoutTimer == null) {
-            awaitingRequestSinceUs = frontend.nowUs();
-            readTimeoutTimer =
-                    loop.schedule(this::onReadTimeout, HEAD_TIMEOUT_US, TimeUnit.MICROSECONDS);
-        }
-    }
-
-    private void onReadTimeout() {
-        long leftUs = requestReceiptDeadlineUs() - frontend.nowUs();
-        if (leftUs <= 0) {
-            channel.close();
-        } else {
-            readTimeoutTimer = loop.schedule(this::onReadTimeout, leftUs, TimeUnit.MICROSECONDS);
-        }
-    }
-
-    /**
-     * Returns the time in microseconds by which the head of the next request, or the rest of the
-     * request that is being received, must have arrived. While the proxy does not read the body of
-     * a request, the deadline for the body moves on.
-     */
-    private long requestReceiptDeadlineUs() {
-        long headUs = awaitingRequestSinceUs + HEAD_TIMEOUT_US;
-        if (incoming == null) {
-            return headUs;
-        }
-        long sinceUs = bodyPaused ? frontend.nowUs() : readingBodySinceUs;
-        return Math.max(
-                headUs,
-                sinceUs + MAX_BODY_PAUSE_US + (long) (receivedBodyBytes / MIN_BODY_BYTES_PER_US));
-    }
-
-    private void cancelReadTimeout() {
-        if (readTimeoutTimer != null) {
-            readTimeoutTimer.cancel(false);
-            readTimeoutTimer = null;
-        }
-    }
-
     private void setBodyReading(boolean on) {
-        if (on && bodyPaused) {
-            readingBodySinceUs = frontend.nowUs();
-            receivedBodyBytes = 0;
-        }
-        bodyPaused = !on;
+        readTimeout.setBodyPaused(!on);
         updateReading();
     }
 
     private void updateReading() {
-        readAhead.setInputWanted(pendingRequests.size() < MAX_PIPELINED && !bodyPaused);
+        readAhead.setInputWanted(
+                pendingRequests.size() < MAX_PIPELINED && !readTimeout.bodyPaused());
     }
 
     // ---- requests
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        startReadTimeout();
+        readTimeout.start();
         frontend.onConnected(this);
         frontend.log().trace("accepted", "-", channel);
         ctx.fireChannelActive();
@@ -367,9 +284,7 @@
         pendingRequests.add(pending);
         incoming = pending;
         requestStarted = true;
-        readingBodySinceUs = frontend.nowUs();
-        receivedBodyBytes = 0;
-        startReadTimeout();
+        readTimeout.onHeadReceived();
         updateReading();
         try {
             readHead(pending, head);
@@ -453,7 +368,7 @@
                         HttpResponseStatus.BAD_REQUEST,
                         "the body is not HTTP: " + content.decoderResult().cause().getMessage());
             }
-            receivedBodyBytes += content.content().readableBytes();
+            readTimeout.onBodyBytes(content.content().readableBytes());
             if (pending.request != null) {
                 addToBody(pending, content, last);
             }
@@ -495,9 +410,8 @@
     private void onRequestReceived() {
         incoming = null;
         requestStarted = false;
-        bodyPaused = false;
+        readTimeout.onRequestReceived();
         updateReading();
-        cancelReadTimeout();
         frontend.markBusy(this);
         if (closeAfterBody) {
             closeGracefully();
@@ -518,7 +432,8 @@
                                     + badRequest.getMessage());
         }
         closing = true;
-        cancelReadTimeout();
+        readTimeout.cancel();
+        readTimeout.abandonBody();
         incoming = null;
         requestStarted = false;
         pending.abandon();
@@ -704,6 +619,7 @@
         if (awaitsResponse) {
             PendingRequest last = new PendingRequest(this, HttpVersion.HTTP_1_1, false);
             incoming = null;
+            readTimeout.abandonBody();
             writeResponse(ProxyResponse.failed(), last);
         } else {
             channel.close();
@@ -723,7 +639,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        cancelReadTimeout();
+        readTimeout.cancel();
         frontend.log().trace("closed", "-", channel.id());
         frontend.onDisconnected(this);
         abandonAll();
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -276,6 +276,10 @@
         return new ReadAhead(budget, MAX_READ_AHEAD_BYTES);
     }
 
+    ReadTimeout newReadTimeout(Runnable onTimeout) {
+        return new ReadTimeout(loop, clock, onTimeout);
+    }
+
     /**
      * Creates an empty body for the request with the given head. The body fills as it is received.
      */
