Close the connection when a request that waits for 100 Continue is refused for lack of memory

A client that gets 503 and no 100 response may leave out its body; the next request on its connection would have been read as that body.

Change: such a refusal announces the close.

Test: MemoryLimitTest#aRequestThatExpectsToContinueIsRefusedWithoutItsBodyIfThereIsNoMemory passes; it was written with the change and not run without it. ClientConnectionTest passes.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -345,7 +345,12 @@
     private void refuseUnadmitted(PendingRequest pending) {
         pending.admissionTimer = null;
         pending.notAdmitted = true;
-        pending.wantsContinue = false;
+        if (pending.wantsContinue) {
+            // Without a 100 response, the client may leave out the body, so the end of its request
+            // is unknown.
+            pending.wantsContinue = false;
+            pending.keepAlive = false;
+        }
         pending.request.body().drop();
         pending.respond(frontend.requests().refuseUnadmitted(pending.request));
     }
--- a/src/test/java/passhatch/proxy/MemoryLimitTest.java
+++ b/src/test/java/passhatch/proxy/MemoryLimitTest.java
@@ -28,6 +28,7 @@
     private static final int READ_BYTES = 1 << 14;
 
     private static final int CLIENTS = 150;
+    private static final int CLIENTS_THAT_FILL_THE_MEMORY = 60;
     private static final int BODY_BYTES = 100_000;
 
     /** Less than a body that is streamed, so that the proxy has to keep these bytes. */
@@ -61,15 +62,7 @@
         List<HttpConnection> clients = new ArrayList<>();
         long maxBytes = 0;
         for (int i = 0; i < CLIENTS; i++) {
-            HttpConnection client = rig.client();
-            client.write(
-                    "POST /move/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: r"
-                            + i
-                            + "\r\nContent-Length: "
-                            + BODY_BYTES
-                            + "\r\n\r\n");
-            client.write(new byte[SENT_FIRST_BYTES]);
-            clients.add(client);
+            clients.add(startBody("r" + i));
             maxBytes = Math.max(maxBytes, rig.proxy().bufferedBytes());
         }
         int served = 0;
@@ -88,6 +81,44 @@
         assertEquals(200, later.read().status());
     }
 
+    private static String head(String id, String more) {
+        return "POST /move/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: "
+                + id
+                + "\r\nContent-Length: "
+                + BODY_BYTES
+                + "\r\n"
+                + more
+                + "\r\n";
+    }
+
+    private HttpConnection startBody(String id) throws IOException {
+        HttpConnection client = rig.client();
+        client.write(head(id, ""));
+        client.write(new byte[SENT_FIRST_BYTES]);
+        return client;
+    }
+
+    /** A client that gets no 100 response may leave out its body, so its connection must close. */
+    @Test
+    void aRequestThatExpectsToContinueIsRefusedWithoutItsBodyIfThereIsNoMemory() throws Exception {
+        ScriptedServer backend =
+                rig.backend((connection, request) -> connection.respond("200 OK", "done"));
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        List<HttpConnection> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS_THAT_FILL_THE_MEMORY; i++) {
+            clients.add(startBody("r" + i));
+        }
+        HttpConnection refused = rig.client();
+        refused.write(head("refused", "Expect: 100-continue\r\n"));
+        HttpConnection.Message response = refused.read();
+        assertEquals(503, response.status());
+        assertEquals("close", response.header("connection"));
+        for (HttpConnection client : clients) {
+            client.write(new byte[BODY_BYTES - SENT_FIRST_BYTES]);
+            client.read();
+        }
+    }
+
     /**
      * Guards against responses that are held without a limit: each of many backends sends a part of
      * a response that could be kept, and none of them goes on until all have.
