Start the time of a long request when its client may have sent it, not when it is read

Cause, from a trace of 004c...06: taken at 54.09 s, its body of 4 MB read by 61.65 s, its client gone at 61.68 after 6.0 s. The client had written all by 55.67: the system's send buffer takes 4 MB (`ss` shows 3.5 MB of each client there, limited by the receiver's window), and the time of a long request started only when the proxy had read its last byte, without any limit before.

Change: InputArrival bounds when unread input arrived: after the last poll that found none, the last pause, or the end of a request with nothing behind it. The time of every request runs from there; an upload whose client may have sent all of it is answered when that time is over. It does not run while more is missing than both systems can hold. PollCounter says which polls found nothing.

Tests, red before: theTimeOfALongRequestRunsWhileItsBytesWaitUnread (no answer in 20 s) and ...WhileItsBackendReadsSlowly (502 after 6.1 s, 503 within 1.5 s wanted).

Tried and not kept: a read with room left, and one of less than 32 KiB, as the sign that the proxy keeps up.

--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -20,7 +20,12 @@
      */
     long deadlineUs = Long.MAX_VALUE;
 
+    /**
+     * The timer that ends the request if the decision module does not, or that checks the upload
+     * while the body is being received; null if none runs.
+     */
     Future<?> fallbackTimer;
+
     boolean uploading;
 
     /** Whether the final response has been chosen. */
@@ -34,6 +39,13 @@
         this.responder = responder;
     }
 
+    void cancelFallbackTimer() {
+        if (fallbackTimer != null) {
+            fallbackTimer.cancel(false);
+            fallbackTimer = null;
+        }
+    }
+
     boolean mayHaveRun() {
         return attempts.stream()
                 .anyMatch(attempt -> attempt.outcome == null || !attempt.outcome.provesNotRun);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -88,8 +88,11 @@
      */
     private static final long MAX_UPLOAD_US = 600_000_000;
 
-    /** Value of the Retry-After header, in microseconds, if there is no memory for a request. */
-    private static final long MEMORY_RETRY_AFTER_US = 250_000;
+    /**
+     * Value of the Retry-After header, in microseconds, if this proxy has no memory for a request
+     * or cannot read it in time.
+     */
+    private static final long OVERLOAD_RETRY_AFTER_US = 250_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -299,6 +302,7 @@
         exchange.uploading = !request.body().ended();
         if (exchange.uploading) {
             uploadingCount++;
+            scheduleUploadCheck(exchange);
         } else {
             startDeadline(exchange, unreadUs);
         }
@@ -328,7 +332,7 @@
     public ProxyResponse refuseUnadmitted(ProxyRequest request) {
         log.trace("not-admitted", request.id(), request.body().declaredLength());
         metrics.countRequest(request.requestClass(), ProxyMetrics.RequestResult.REFUSED);
-        return ProxyResponse.refused(Math.min(MEMORY_RETRY_AFTER_US, maxRetryAfterUs));
+        return ProxyResponse.refused(Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs));
     }
 
     @Override
@@ -356,7 +360,12 @@
     }
 
     private void startDeadline(Exchange exchange, long unreadUs) {
-        long nowUs = clock.nowUs();
+        exchange.deadlineUs = Math.min(responseDueUs(exchange, unreadUs), latestDeadlineUs);
+        setFallbackTimer(exchange, exchange.deadlineUs, () -> respondIfOverdue(exchange));
+    }
+
+    /** Returns when a response is due if the request's last byte has waited for the given time. */
+    private long responseDueUs(Exchange exchange, long unreadUs) {
         // Stalls cannot be predicted, so after a recent stall the response is due sooner, to
         // allow for another stall of that length. The time that the client allows limits this
         // allowance.
@@ -366,14 +375,44 @@
                         + Math.min(
                                 stallDetector.responseMarginUs(),
                                 budgetUs / STALL_ALLOWANCE_DIVISOR);
-        exchange.deadlineUs = Math.min(nowUs + budgetUs - unreadUs - marginUs, latestDeadlineUs);
+        return clock.nowUs() + budgetUs - unreadUs - marginUs;
+    }
+
+    private void setFallbackTimer(Exchange exchange, long dueUs, Runnable action) {
+        exchange.cancelFallbackTimer();
         exchange.fallbackTimer =
                 loop.schedule(
-                        () -> respondIfOverdue(exchange),
-                        Math.max(0, exchange.deadlineUs - nowUs) + FALLBACK_DELAY_US,
+                        action,
+                        Math.max(0, dueUs - clock.nowUs()) + FALLBACK_DELAY_US,
                         TimeUnit.MICROSECONDS);
     }
 
+    // ---- uploads
+
+    /**
+     * Schedules the next check of an upload. While the proxy reads a body more slowly than its
+     * client sends it, the client may have sent the last byte already, so the response may be due
+     * before the body has been read.
+     */
+    private void scheduleUploadCheck(Exchange exchange) {
+        setFallbackTimer(exchange, uploadDueUs(exchange), () -> checkUpload(exchange));
+    }
+
+    private long uploadDueUs(Exchange exchange) {
+        return responseDueUs(exchange, exchange.responder.unreadUs());
+    }
+
+    private void checkUpload(Exchange exchange) {
+        if (clock.nowUs() < uploadDueUs(exchange)) {
+            scheduleUploadCheck(exchange);
+            return;
+        }
+        log.trace("upload-overdue", exchange.request.id(), exchange.request.body().size());
+        respondUnasked(
+                exchange,
+                ProxyResponse.refused(Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs)));
+    }
+
     @Override
     public void clientGone(String id) {
         Exchange exchange = exchanges.get(id);
@@ -406,15 +445,19 @@
                     "request "
                             + exchange.request.id()
                             + ": no response from the decision module in time");
-            sendResponse(
+            respondUnasked(
                     exchange,
                     exchange.mayHaveRun() ? ProxyResponse.failed() : ProxyResponse.refused(0));
-            notifyBalancer(
-                    exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
-            removeIfCompleted(exchange);
         }
     }
 
+    /** Sends a response that the decision module has not chosen, and notifies the module. */
+    private void respondUnasked(Exchange exchange, ProxyResponse response) {
+        sendResponse(exchange, response);
+        notifyBalancer(exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
+        removeIfCompleted(exchange);
+    }
+
     /**
      * Chooses a streamed response as the final response, unless one has been chosen already.
      * Results of other attempts are then no longer sent to the client.
@@ -590,7 +633,7 @@
         }
         long attemptDeadlineUs =
                 exchange.uploading
-                        ? nowUs + exchange.request.timeoutUs()
+                        ? nowUs + exchange.request.timeoutUs() - exchange.responder.unreadUs()
                         : nowUs + attemptTimeoutUs;
         attempt.handle =
                 pool.send(
@@ -776,9 +819,7 @@
     /** Marks the final response as chosen, though it may not be sent completely yet. */
     private static void markResponseChosen(Exchange exchange) {
         exchange.responseChosen = true;
-        if (exchange.fallbackTimer != null) {
-            exchange.fallbackTimer.cancel(false);
-        }
+        exchange.cancelFallbackTimer();
     }
 
     /**
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -23,6 +23,7 @@
 import passhatch.proxy.base.EventLog;
 import passhatch.proxy.base.LoopGuard;
 import passhatch.proxy.base.NettyLog;
+import passhatch.proxy.base.PollCounter;
 import passhatch.proxy.base.ReloadSignal;
 import passhatch.proxy.base.StallDetector;
 import passhatch.proxy.client.HttpFrontend;
@@ -78,6 +79,7 @@
         Balancer create(Settings settings, long seed, Actions actions);
     }
 
+    private final PollCounter pollCounter = new PollCounter(NioIoHandler.newFactory());
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final EventLog log;
@@ -119,8 +121,7 @@
         this.log = log;
         this.maxDescriptors = config.maxDescriptors();
         this.group =
-                new MultiThreadIoEventLoopGroup(
-                        1, new DefaultThreadFactory("proxy"), NioIoHandler.newFactory());
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("proxy"), pollCounter);
         this.loop = group.next();
         this.longestDeadlineMs =
                 TimeUnit.MICROSECONDS.toMillis(
@@ -247,7 +248,8 @@
                         bufferBudget,
                         new BodyAdmission(bufferBudget, maxAdmittedBytes(config), loop),
                         descriptorLimits,
-                        stallDetector);
+                        stallDetector,
+                        pollCounter);
         controlServer = new Control(loop, log, this::checkReady, proxyLoop::metricsText);
         updateDescriptorLimit();
         warmedUp = !otherProcessRuns();
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -1,13 +1,13 @@
 package passhatch.proxy.client;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -49,8 +49,11 @@
     /** The wait for admission is at most the time that the client allows, divided by this. */
     private static final long ADMISSION_WAIT_DIVISOR = 8;
 
+    /** The largest send buffer that Linux gives a socket by itself ({@code tcp_wmem}), in bytes. */
+    private static final long MAX_SEND_BUFFER_BYTES = 1 << 22;
+
     private final HttpFrontend frontend;
-    private final Channel channel;
+    private final SocketChannel channel;
     private final EventLoop loop;
     private final ReadAhead readAhead;
     private final ReadTimeout readTimeout;
@@ -85,7 +88,7 @@
      */
     private boolean closeAfterBody;
 
-    ClientConnection(HttpFrontend frontend, Channel channel, EventLoop loop) {
+    ClientConnection(HttpFrontend frontend, SocketChannel channel, EventLoop loop) {
         this.frontend = frontend;
         this.channel = channel;
         this.loop = loop;
@@ -149,8 +152,11 @@
         /** Refuses the request if its body is not admitted in time; null if it need not wait. */
         Future<?> admissionTimer;
 
-        /** Time in microseconds for which the request waited for the admission of its body. */
-        long admissionWaitUs;
+        /**
+         * Latest time in microseconds at which more of the body was missing than the systems of
+         * client and proxy can hold, so that the client cannot have sent all of it.
+         */
+        long incompleteAtUs = Long.MIN_VALUE;
 
         /** Whether the request was refused because its body was not admitted. */
         boolean notAdmitted;
@@ -173,6 +179,11 @@
             connection.writeResponses();
         }
 
+        @Override
+        public long unreadUs() {
+            return connection.unreadUs(this);
+        }
+
         @Override
         public void stream(ResponseStream newStream, Relay.Listener listener) {
             stream = newStream;
@@ -318,11 +329,10 @@
 
     private void requestAdmission(PendingRequest pending, boolean chunked) {
         RequestBody body = pending.request.body();
-        long sinceUs = frontend.nowUs();
         body.reserve(
                 frontend.bodyAdmission(),
                 chunked || body.declaredLength() > 0,
-                () -> onAdmitted(pending, sinceUs));
+                () -> onAdmitted(pending));
         if (!body.admitted()) {
             pending.admissionTimer =
                     loop.schedule(
@@ -334,9 +344,8 @@
         }
     }
 
-    private void onAdmitted(PendingRequest pending, long sinceUs) {
+    private void onAdmitted(PendingRequest pending) {
         pending.cancelAdmissionTimer();
-        pending.admissionWaitUs = frontend.nowUs() - sinceUs;
         setBodyReading(true);
         sendContinue();
     }
@@ -355,9 +364,39 @@
         pending.respond(frontend.requests().refuseUnadmitted(pending.request));
     }
 
-    /** Returns how long the request may have waited unread, in microseconds. */
+    // ---- the time for which a request may have waited unread
+
+    /**
+     * Records the time if the client cannot have sent the whole body yet. If the body has no
+     * declared length, the client may have sent all of it at any time.
+     */
+    private void noteIncomplete(PendingRequest pending) {
+        RequestBody body = pending.request.body();
+        long missingBytes = body.declaredLength() - body.size();
+        if (missingBytes > MAX_SEND_BUFFER_BYTES
+                && channel.isOpen()
+                && missingBytes > maxUnforwardedBytes()) {
+            pending.incompleteAtUs = frontend.nowUs();
+        }
+    }
+
+    /** Returns how many bytes that a client has sent may not have been forwarded yet. */
+    private long maxUnforwardedBytes() {
+        int receiveBufferBytes = channel.config().getReceiveBufferSize();
+        return MAX_SEND_BUFFER_BYTES + receiveBufferBytes + HttpFrontend.MAX_READ_AHEAD_BYTES;
+    }
+
+    /**
+     * Returns how long the last byte of the request may have waited unread, in microseconds, if the
+     * request has not been received completely.
+     */
     private long unreadUs(PendingRequest pending) {
-        return Math.max(frontend.unreadUs(), pending.admissionWaitUs);
+        noteIncomplete(pending);
+        return unreadSinceUs(pending, readAhead.unforwardedArrivalUs());
+    }
+
+    private long unreadSinceUs(PendingRequest pending, long arrivalUs) {
+        return Math.max(0, frontend.nowUs() - Math.max(arrivalUs, pending.incompleteAtUs));
     }
 
     private static RequestParser.BadRequestException bodyTooLarge() {
@@ -388,6 +427,7 @@
     private void addToBody(PendingRequest pending, HttpContent content, boolean last)
             throws RequestParser.BadRequestException {
         RequestBody body = pending.request.body();
+        noteIncomplete(pending);
         body.add(content.content());
         if (body.size() > RequestBody.MAX_BYTES) {
             throw bodyTooLarge();
@@ -398,8 +438,9 @@
         if (pending.notAdmitted) {
             return;
         }
+        long unreadUs = unreadSinceUs(pending, readAhead.forwardedArrivalUs());
         if (!pending.accepted && (last || body.isLong())) {
-            if (!frontend.requests().accept(pending.request, unreadUs(pending), pending)) {
+            if (!frontend.requests().accept(pending.request, unreadUs, pending)) {
                 throw new RequestParser.BadRequestException(
                         HttpResponseStatus.BAD_REQUEST, "X-Request-Id is already in use");
             }
@@ -407,7 +448,7 @@
             frontend.log().trace("on", pending.request.id(), channel.id());
             frontend.markBusy(this);
         } else if (last) {
-            frontend.requests().bodyCompleted(pending.request.id(), unreadUs(pending));
+            frontend.requests().bodyCompleted(pending.request.id(), unreadUs);
         }
     }
 
@@ -416,6 +457,7 @@
         incoming = null;
         requestStarted = false;
         readTimeout.onRequestReceived();
+        readAhead.onRequestReceived();
         updateReading();
         frontend.markBusy(this);
         if (closeAfterBody) {
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -20,7 +20,9 @@
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.DescriptorLimits;
 import passhatch.proxy.base.EventLog;
+import passhatch.proxy.base.PollCounter;
 import passhatch.proxy.base.StallDetector;
+import passhatch.proxy.client.InputArrival.LoopTime;
 import passhatch.proxy.flow.BodyAdmission;
 import passhatch.proxy.flow.BufferBudget;
 import passhatch.proxy.flow.Relay;
@@ -54,7 +56,7 @@
      * them. It equals the maximum size of a body that can be sent again. That is enough for the
      * rest of most larger bodies, or for some hundred requests.
      */
-    private static final int MAX_READ_AHEAD_BYTES = RequestBody.MAX_REPLAYABLE_BYTES;
+    static final int MAX_READ_AHEAD_BYTES = RequestBody.MAX_REPLAYABLE_BYTES;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -65,6 +67,7 @@
     private final BodyAdmission bodyAdmission;
     private final DescriptorLimits descriptors;
     private final StallDetector stallDetector;
+    private final PollCounter pollCounter;
 
     /**
      * Connections that have been served and have no open request. The connection that has been idle
@@ -98,6 +101,7 @@
      * @param descriptors counts the open connections, both those of clients and those to backends;
      *     if a new client connection exceeds the limit, one client connection is closed
      * @param stallDetector measures how long the event loop was stalled
+     * @param pollCounter counts the polls of the event loop
      */
     public HttpFrontend(
             EventLoop loop,
@@ -108,7 +112,8 @@
             BufferBudget budget,
             BodyAdmission bodyAdmission,
             DescriptorLimits descriptors,
-            StallDetector stallDetector) {
+            StallDetector stallDetector,
+            PollCounter pollCounter) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -118,6 +123,7 @@
         this.bodyAdmission = bodyAdmission;
         this.descriptors = descriptors;
         this.stallDetector = stallDetector;
+        this.pollCounter = pollCounter;
     }
 
     /** Starts to listen, and returns the bound address once the socket is bound. */
@@ -273,7 +279,12 @@
     }
 
     ReadAhead newReadAhead() {
-        return new ReadAhead(budget, MAX_READ_AHEAD_BYTES);
+        return new ReadAhead(budget, MAX_READ_AHEAD_BYTES, this::loopTime);
+    }
+
+    private LoopTime loopTime() {
+        long nowUs = clock.nowUs();
+        return new LoopTime(nowUs, stallDetector.unreadUs(nowUs), pollCounter.polls());
     }
 
     ReadTimeout newReadTimeout(Runnable onTimeout) {
@@ -375,12 +386,4 @@
         closingConnections.remove(victim);
         victim.close();
     }
-
-    /**
-     * Returns the time in microseconds for which a request that is read now may have waited unread
-     * while the event loop was stalled.
-     */
-    long unreadUs() {
-        return stallDetector.unreadUs(clock.nowUs());
-    }
 }
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayDeque;
+import java.util.function.Supplier;
+import passhatch.proxy.client.InputArrival.LoopTime;
 import passhatch.proxy.flow.BufferBudget;
 
 /**
@@ -14,13 +16,22 @@
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
 
+    /**
+     * Bytes that were read, with the earliest time in microseconds at which they may have arrived.
+     */
+    private record Input(ByteBuf bytes, long earliestArrivalUs) {}
+
     private final BufferBudget budget;
     private final int maxBytes;
-    private final ArrayDeque<ByteBuf> buffered = new ArrayDeque<>();
+    private final Supplier<LoopTime> loopTime;
+    private final InputArrival arrival = new InputArrival();
+    private final ArrayDeque<Input> buffered = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private long bufferedBytes;
     private boolean inputWanted = true;
     private boolean forwarding;
+    private long forwardedArrivalUs;
+    private boolean requestReceived;
 
     /**
      * Creates a handler that forwards all input at first.
@@ -28,10 +39,30 @@
      * @param budget counts the buffered bytes
      * @param maxBytes number of buffered bytes at which reading stops; the last read before that
      *     may exceed it
+     * @param loopTime returns the present time on the event loop
      */
-    ReadAhead(BufferBudget budget, int maxBytes) {
+    ReadAhead(BufferBudget budget, int maxBytes, Supplier<LoopTime> loopTime) {
         this.budget = budget;
         this.maxBytes = maxBytes;
+        this.loopTime = loopTime;
+    }
+
+    /**
+     * Returns the earliest time in microseconds at which the input that was forwarded last may have
+     * arrived.
+     */
+    long forwardedArrivalUs() {
+        return forwardedArrivalUs;
+    }
+
+    /**
+     * Returns the earliest time in microseconds at which input that has not been forwarded may have
+     * arrived.
+     */
+    long unforwardedArrivalUs() {
+        return buffered.isEmpty()
+                ? arrival.earliestUs(loopTime.get())
+                : buffered.peek().earliestArrivalUs();
     }
 
     /**
@@ -46,6 +77,11 @@
         }
     }
 
+    /** Called when the forwarded input has completed a request. */
+    void onRequestReceived() {
+        requestReceived = true;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
@@ -59,9 +95,14 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf buffer = (ByteBuf) message;
-        buffered.add(buffer);
+        boolean drained = buffer.isWritable();
+        requestReceived = false;
+        buffered.add(new Input(buffer, arrival.onRead(loopTime.get())));
         addBufferedBytes(buffer.readableBytes());
         forward();
+        if (drained && requestReceived && buffered.isEmpty()) {
+            arrival.onRequestsRead();
+        }
         updateReading();
     }
 
@@ -77,9 +118,10 @@
         forwarding = true;
         try {
             while (inputWanted && !buffered.isEmpty()) {
-                ByteBuf next = buffered.poll();
-                addBufferedBytes(-next.readableBytes());
-                context.fireChannelRead(next);
+                Input next = buffered.poll();
+                addBufferedBytes(-next.bytes().readableBytes());
+                forwardedArrivalUs = next.earliestArrivalUs();
+                context.fireChannelRead(next.bytes());
             }
         } finally {
             forwarding = false;
@@ -93,15 +135,15 @@
 
     private void updateReading() {
         if (context.channel().isActive()) {
-            context.channel()
-                    .config()
-                    .setAutoRead(inputWanted || bufferedBytes < maxBytes && !budget.exceeded());
+            boolean reading = inputWanted || bufferedBytes < maxBytes && !budget.exceeded();
+            arrival.setReading(reading, loopTime.get());
+            context.channel().config().setAutoRead(reading);
         }
     }
 
     private void drop() {
         while (!buffered.isEmpty()) {
-            ByteBuf next = buffered.poll();
+            ByteBuf next = buffered.poll().bytes();
             addBufferedBytes(-next.readableBytes());
             next.release();
         }
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -10,6 +10,13 @@
     interface Responder {
         void respond(ProxyResponse response);
 
+        /**
+         * Returns how long the last byte of the request may have waited unread, in microseconds,
+         * while the request's body has not been received completely; 0 if the client is known to be
+         * sending still.
+         */
+        long unreadUs();
+
         /**
          * Streams a response to the client. The listener is called once, when the whole response
          * has been written or when the transfer has failed.
@@ -43,7 +50,7 @@
 
     /**
      * Called when the body of a request that was accepted earlier has been received completely. The
-     * request's timeout starts now.
+     * request's timeout runs from the arrival of its last byte.
      *
      * @param unreadUs how long the body's last bytes may have waited unread, in microseconds
      */
--- a/src/test/java/passhatch/proxy/DeadlineTest.java
+++ b/src/test/java/passhatch/proxy/DeadlineTest.java
@@ -5,8 +5,15 @@
 import static passhatch.proxy.Rig.scriptedBalancer;
 import static passhatch.proxy.Rig.up;
 
+import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -176,4 +183,98 @@
         assertEquals(503, second.read().status());
         assertTrue(left.take() < 4_800_000);
     }
+
+    /**
+     * Guards against a long request that gets no response in time, because its time started only
+     * when the proxy had read its last byte, which had waited in the system's buffers.
+     */
+    @Test
+    void theTimeOfALongRequestRunsWhileItsBytesWaitUnread() throws Exception {
+        rig.balancerFactory(
+                        (settings, seed, actions) -> scriptedBalancer((method, arguments) -> {}))
+                .start();
+        HttpConnection client = rig.client();
+        client.write(longPost("unread", 300_000));
+        long writtenNs = System.nanoTime();
+        assertEquals(503, client.read().status());
+        assertTrue(millisSince(writtenNs) < 1_500, millisSince(writtenNs) + " ms");
+    }
+
+    /** The same while the body is streamed, more slowly than the client has written it. */
+    @Test
+    void theTimeOfALongRequestRunsWhileItsBackendReadsSlowly() throws Exception {
+        try (SlowReader backend = new SlowReader(1_000_000)) {
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            HttpConnection client = rig.client();
+            client.write(longPost("streamed", 8_000_000));
+            long writtenNs = System.nanoTime();
+            assertEquals(503, client.read().status(), "an incomplete request has not run");
+            assertTrue(millisSince(writtenNs) < 1_500, millisSince(writtenNs) + " ms");
+        }
+    }
+
+    /** A client that still sends is not held to the time that starts with its last byte. */
+    @Test
+    void theTimeOfALongRequestDoesNotRunWhileItsClientStillSends() throws Exception {
+        rig.start(up("s", ScriptedServer.respondingWith("done")));
+        HttpConnection client = rig.client();
+        byte[] request = longPost("sending", 300_000);
+        int part = request.length / 25;
+        for (int at = 0; at < request.length; at += part) {
+            client.write(Arrays.copyOfRange(request, at, Math.min(request.length, at + part)));
+            Thread.sleep(100);
+        }
+        assertEquals("done", client.read().text());
+    }
+
+    private static long millisSince(long startNs) {
+        return (System.nanoTime() - startNs) / 1_000_000;
+    }
+
+    /** Returns a request with a deadline of one second. */
+    private static byte[] longPost(String id, int bodyBytes) {
+        String head =
+                "POST /move/1 HTTP/1.1\r\nHost: p\r\nX-Request-Id: "
+                        + id
+                        + "\r\nX-Deadline: 1000m\r\nContent-Length: "
+                        + bodyBytes
+                        + "\r\n\r\n";
+        byte[] start = head.getBytes(StandardCharsets.US_ASCII);
+        return Arrays.copyOf(start, start.length + bodyBytes);
+    }
+
+    /** A backend that reads each connection at a limited rate and never responds. */
+    private static final class SlowReader implements Closeable {
+        private static final int READS_PER_SECOND = 50;
+
+        private final ServerSocket listener;
+        private final int readBytes;
+
+        SlowReader(int bytesPerSecond) throws IOException {
+            readBytes = bytesPerSecond / READS_PER_SECOND;
+            listener = new ServerSocket();
+            listener.setReceiveBufferSize(readBytes);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            ScriptedServer.startDaemon(this::serve);
+        }
+
+        InetSocketAddress address() {
+            return (InetSocketAddress) listener.getLocalSocketAddress();
+        }
+
+        private void serve() {
+            try (Socket connection = listener.accept()) {
+                while (connection.getInputStream().readNBytes(readBytes).length == readBytes) {
+                    LockSupport.parkNanos(1_000_000_000 / READS_PER_SECOND);
+                }
+            } catch (IOException closed) {
+                // The test has ended, or the proxy has given up the request.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
 }
