Announce the close when a request is refused before its long body is read

Change: a request that is refused because its body was not admitted, or because its upload is overdue, announces the close unless less than 64 KiB of its body are missing. So the client's next request does not wait behind it. The rest of the body is still read and dropped before the close.

Test, red before (no Connection header): aRequestThatIsRefusedBeforeItsBodyIsReadClosesItsConnection. Tried first and not kept: the same for every answer that is not served; BodiesTest#aResponseThat- PrecedesTheEndOfTheRequestIsForwarded rightly wants the connection kept while the proxy keeps up.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -408,6 +408,7 @@
             return;
         }
         log.trace("upload-overdue", exchange.request.id(), exchange.request.body().size());
+        exchange.responder.closeIfBodyIsMissing();
         respondUnasked(
                 exchange,
                 ProxyResponse.refused(Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs)));
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -179,6 +179,11 @@
             connection.writeResponses();
         }
 
+        @Override
+        public void closeIfBodyIsMissing() {
+            keepAlive &= !connection.muchBodyMissing(this);
+        }
+
         @Override
         public long unreadUs() {
             return connection.unreadUs(this);
@@ -360,6 +365,7 @@
             pending.wantsContinue = false;
             pending.keepAlive = false;
         }
+        pending.closeIfBodyIsMissing();
         pending.request.body().drop();
         pending.respond(frontend.requests().refuseUnadmitted(pending.request));
     }
@@ -399,6 +405,19 @@
         return Math.max(0, frontend.nowUs() - Math.max(arrivalUs, pending.incompleteAtUs));
     }
 
+    /**
+     * Returns whether a large or unknown part of the request's body has not been received yet. The
+     * next request on the connection could not be read before it, however long that takes.
+     */
+    private boolean muchBodyMissing(PendingRequest pending) {
+        if (incoming != pending || pending.request == null) {
+            return false;
+        }
+        RequestBody body = pending.request.body();
+        return body.declaredLength() < 0
+                || body.declaredLength() - body.size() > RequestBody.MAX_REPLAYABLE_BYTES;
+    }
+
     private static RequestParser.BadRequestException bodyTooLarge() {
         return new RequestParser.BadRequestException(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -10,6 +10,12 @@
     interface Responder {
         void respond(ProxyResponse response);
 
+        /**
+         * Makes the response announce that the connection closes, if much of the request's body has
+         * not been received: the next request on the connection would wait behind it.
+         */
+        void closeIfBodyIsMissing();
+
         /**
          * Returns how long the last byte of the request may have waited unread, in microseconds,
          * while the request's body has not been received completely; 0 if the client is known to be
--- a/src/test/java/passhatch/proxy/DeadlineTest.java
+++ b/src/test/java/passhatch/proxy/DeadlineTest.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static passhatch.proxy.Rig.scriptedBalancer;
 import static passhatch.proxy.Rig.up;
@@ -200,6 +201,23 @@
         assertTrue(millisSince(writtenNs) < 1_500, millisSince(writtenNs) + " ms");
     }
 
+    /**
+     * Guards against requests that are late because they wait unread behind the rest of a long body
+     * whose request was refused.
+     */
+    @Test
+    void aRequestThatIsRefusedBeforeItsBodyIsReadClosesItsConnection() throws Exception {
+        rig.balancerFactory(
+                        (settings, seed, actions) -> scriptedBalancer((method, arguments) -> {}))
+                .start();
+        HttpConnection client = rig.client();
+        client.write(longPost("refused", 300_000));
+        Message response = client.read();
+        assertEquals(503, response.status());
+        assertEquals("close", response.header("Connection"));
+        assertNull(client.read(), "the end of the connection");
+    }
+
     /** The same while the body is streamed, more slowly than the client has written it. */
     @Test
     void theTimeOfALongRequestRunsWhileItsBackendReadsSlowly() throws Exception {
