Evict connections whose close was announced before those of other clients

Cause: a client that is told of the close of its connection opens another, while the old one stays until the rest of its body has been read; up to 663 client connections were open for 340 clients. These old ones were no candidates for the eviction, so a client's new connection was closed, with its request.

Change: a connection counts as being closed once its client has been told so, and those go first.

Test, red before (the silent client was closed): connectionsWhoseCloseWasAnnouncedAreEvictedFirst.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -612,6 +612,7 @@
     private void closeAfterResponse(PendingRequest pending) {
         if (incoming == pending) {
             closeAfterBody = true;
+            frontend.closing(this);
         } else {
             closeGracefully();
         }
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -338,7 +338,7 @@
         idleConnections.add(connection);
     }
 
-    /** Called when a connection is being closed. */
+    /** Called when a connection is being closed, or when its client has been told of the close. */
     void closing(ClientConnection connection) {
         markBusy(connection);
         closingConnections.add(connection);
--- a/src/test/java/passhatch/proxy/ClientConnectionTest.java
+++ b/src/test/java/passhatch/proxy/ClientConnectionTest.java
@@ -7,6 +7,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -91,6 +93,38 @@
         assertEquals("close", client.read().header("Connection"));
     }
 
+    /**
+     * Guards against clients that are closed while connections are kept whose clients were refused
+     * and told of the close, but have not sent the rest of their bodies.
+     */
+    @Test
+    void connectionsWhoseCloseWasAnnouncedAreEvictedFirst() throws Exception {
+        rig.balancerFactory(
+                        (settings, seed, actions) ->
+                                Rig.scriptedBalancer((method, arguments) -> {}))
+                .start();
+        List<HttpConnection> refused = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            HttpConnection client = rig.client();
+            client.write(
+                    "POST /move HTTP/1.1\r\nHost: p\r\nContent-Length: 300000\r\nX-Request-Id: "
+                            + i
+                            + "\r\nX-Deadline: 300m\r\n\r\n");
+            client.write(new byte[70_000]);
+            refused.add(client);
+        }
+        for (HttpConnection client : refused) {
+            assertEquals("close", client.read().header("Connection"));
+        }
+        HttpConnection silent = rig.client();
+        for (int i = 0; i < 100; i++) {
+            rig.client();
+        }
+        rig.awaitLog("clients are connected");
+        silent.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+        assertEquals(200, silent.read().status());
+    }
+
     /** Slow clients take 2 s to send a head: the eviction goes by silence, not by age. */
     @Test
     void aSlowHeadIsNotEvictedByThousandsOfSilentPeers() throws Exception {
