Test: keep the port of an unreachable discovery reserved instead of closing its server

The trace: the port of the closed server was taken by another listener of the machine, the call to discovery reached it ("a list is skipped: not the start of an object"), and a proxy that has reached something at discovery's address rightly does not use its initial list.

Change: the test's address of discovery is a port that is bound and does not listen, so it refuses connections, as before, and nobody else can take it. What is checked stays the same.

--- a/src/test/java/passhatch/proxy/DiscoveryWatchTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryWatchTest.java
@@ -52,7 +52,7 @@
     void servesWithTheInitialListIfDiscoveryIsUnreachable() throws Exception {
         ScriptedServer backend =
                 rig.backend((connection, request) -> connection.respond("200 OK", "known"));
-        rig.discovery().close();
+        rig.unreachableDiscovery();
         ProxyServer proxy = startWithInitialList(backend);
         try (HttpConnection client = HttpConnection.connect(proxy.address())) {
             client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -52,6 +54,7 @@
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final Path folder;
     private final ScriptedServer discovery;
+    private InetSocketAddress discoveryAddress;
     private int aimUs = 9_000_000;
     private int dedupWindowUs = 9_000_000;
     private int deadlineUs = 10_000_000;
@@ -106,6 +109,19 @@
                             connection.reset();
                         });
         open.add(discovery);
+        discoveryAddress = discovery.address();
+    }
+
+    /**
+     * Gives the proxy an address of discovery that refuses connections. Its port stays reserved, as
+     * another process may listen at the port of a server that was closed.
+     */
+    Rig unreachableDiscovery() throws IOException {
+        Socket reservation = new Socket();
+        open.add(reservation);
+        reservation.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        discoveryAddress = (InetSocketAddress) reservation.getLocalSocketAddress();
+        return this;
     }
 
     /** Sends each list over several lines. */
@@ -282,7 +298,7 @@
                 "PROXY_LISTEN",
                 "127.0.0.1:0",
                 "PROXY_DISCOVERY",
-                "127.0.0.1:" + discovery.address().getPort(),
+                "127.0.0.1:" + discoveryAddress.getPort(),
                 "PROXY_CONFIG",
                 file.toString(),
                 "TMPDIR",
