--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -49,9 +49,6 @@
     /** The wait for admission is at most the time that the client allows, divided by this. */
     private static final long ADMISSION_WAIT_DIVISOR = 8;
 
-    /** The largest send buffer that Linux gives a socket by itself ({@code tcp_wmem}), in bytes. */
-    private static final long MAX_SEND_BUFFER_BYTES = 1 << 22;
-
     private final HttpFrontend frontend;
     private final SocketChannel channel;
     private final EventLoop loop;
@@ -146,18 +143,15 @@
         /** The parsed request; null if the request is not forwarded to a backend. */
         ProxyRequest request;
 
+        /** When the request arrived; null if the request is not forwarded to a backend. */
+        RequestArrival arrival;
+
         boolean accepted;
         boolean wantsContinue;
 
         /** Refuses the request if its body is not admitted in time; null if it need not wait. */
         Future<?> admissionTimer;
 
-        /**
-         * Latest time in microseconds at which more of the body was missing than the systems of
-         * client and proxy can hold, so that the client cannot have sent all of it.
-         */
-        long incompleteAtUs = Long.MIN_VALUE;
-
         /** Whether the request was refused because its body was not admitted. */
         boolean notAdmitted;
 
@@ -181,12 +175,12 @@
 
         @Override
         public void closeIfBodyIsMissing() {
-            keepAlive &= !connection.muchBodyMissing(this);
+            keepAlive &= !arrival.muchBodyMissing();
         }
 
         @Override
         public long unreadUs() {
-            return connection.unreadUs(this);
+            return arrival.unforwardedWaitUs();
         }
 
         @Override
@@ -325,6 +319,7 @@
             throw bodyTooLarge();
         }
         pending.request = request;
+        pending.arrival = new RequestArrival(channel, readAhead, frontend::nowUs, request.body());
         pending.wantsContinue = HttpUtil.is100ContinueExpected(head);
         requestAdmission(pending, HttpUtil.isTransferEncodingChunked(head));
         sendContinue();
@@ -370,54 +365,6 @@
         pending.respond(frontend.requests().refuseUnadmitted(pending.request));
     }
 
-    // ---- the time for which a request may have waited unread
-
-    /**
-     * Records the time if the client cannot have sent the whole body yet. If the body has no
-     * declared length, the client may have sent all of it at any time.
-     */
-    private void noteIncomplete(PendingRequest pending) {
-        RequestBody body = pending.request.body();
-        long missingBytes = body.declaredLength() - body.size();
-        if (missingBytes > MAX_SEND_BUFFER_BYTES
-                && channel.isOpen()
-                && missingBytes > maxUnforwardedBytes()) {
-            pending.incompleteAtUs = frontend.nowUs();
-        }
-    }
-
-    /** Returns how many bytes that a client has sent may not have been forwarded yet. */
-    private long maxUnforwardedBytes() {
-        int receiveBufferBytes = channel.config().getReceiveBufferSize();
-        return MAX_SEND_BUFFER_BYTES + receiveBufferBytes + HttpFrontend.MAX_READ_AHEAD_BYTES;
-    }
-
-    /**
-     * Returns how long the last byte of the request may have waited unread, in microseconds, if the
-     * request has not been received completely.
-     */
-    private long unreadUs(PendingRequest pending) {
-        noteIncomplete(pending);
-        return unreadSinceUs(pending, readAhead.unforwardedArrivalUs());
-    }
-
-    private long unreadSinceUs(PendingRequest pending, long arrivalUs) {
-        return Math.max(0, frontend.nowUs() - Math.max(arrivalUs, pending.incompleteAtUs));
-    }
-
-    /**
-     * Returns whether a large or unknown part of the request's body has not been received yet. The
-     * next request on the connection could not be read before it, however long that takes.
-     */
-    private boolean muchBodyMissing(PendingRequest pending) {
-        if (incoming != pending || pending.request == null) {
-            return false;
-        }
-        RequestBody body = pending.request.body();
-        return body.declaredLength() < 0
-                || body.declaredLength() - body.size() > RequestBody.MAX_REPLAYABLE_BYTES;
-    }
-
     private static RequestParser.BadRequestException bodyTooLarge() {
         return new RequestParser.BadRequestException(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
@@ -446,7 +393,7 @@
     private void addToBody(PendingRequest pending, HttpContent content, boolean last)
             throws RequestParser.BadRequestException {
         RequestBody body = pending.request.body();
-        noteIncomplete(pending);
+        pending.arrival.noteMissingBytes();
         body.add(content.content());
         if (body.size() > RequestBody.MAX_BYTES) {
             throw bodyTooLarge();
@@ -457,7 +404,7 @@
         if (pending.notAdmitted) {
             return;
         }
-        long unreadUs = unreadSinceUs(pending, readAhead.forwardedArrivalUs());
+        long unreadUs = pending.arrival.forwardedWaitUs();
         if (!pending.accepted && (last || body.isLong())) {
             if (!frontend.requests().accept(pending.request, unreadUs, pending)) {
                 throw new RequestParser.BadRequestException(
