--- a/src/test/java/passhatch/lab/drill/LongBodiesIT.java
+++ b/src/test/java/passhatch/lab/drill/LongBodiesIT.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -68,17 +69,20 @@
         }
     }
 
-    /** Sends one request after another, on a new connection if the last one has failed. */
+    /**
+     * Sends one request after another, on a new connection if the last one has failed or its
+     * response has announced the close.
+     */
     private void sendRequests(int client, long endNs) {
         for (int n = 0; System.nanoTime() < endNs; ) {
             try (Socket socket =
                     new Socket(
                             proxy.listenAddress().getAddress(), proxy.listenAddress().getPort())) {
                 socket.setSoTimeout(READ_TIMEOUT_MS);
-                while (System.nanoTime() < endNs) {
+                for (boolean open = true; open && System.nanoTime() < endNs; ) {
                     writeRequest(socket, "c" + client + "-" + n++);
                     sent.incrementAndGet();
-                    readResponse(socket);
+                    open = readResponse(socket);
                     answered.incrementAndGet();
                 }
             } catch (IOException lost) {
@@ -98,16 +102,18 @@
         socket.getOutputStream().write(BODY);
     }
 
-    private static void readResponse(Socket socket) throws IOException {
-        String head = readHead(socket);
+    /** Reads a response and returns whether the connection stays open after it. */
+    private static boolean readResponse(Socket socket) throws IOException {
+        String head = readHead(socket).toLowerCase(Locale.ROOT);
         String lengthHeader = "content-length: ";
-        int at = head.toLowerCase(java.util.Locale.ROOT).indexOf(lengthHeader);
+        int at = head.indexOf(lengthHeader);
         int length =
                 Integer.parseInt(
                         head.substring(at + lengthHeader.length(), head.indexOf("\r\n", at)));
         if (socket.getInputStream().readNBytes(length).length < length) {
             throw new IOException("the response was truncated");
         }
+        return !head.contains("connection: close");
     }
 
     private static String readHead(Socket socket) throws IOException {
