Drills reserve the ports of their processes where no other socket gets them

Cause: LocalNetwork chose a port by binding port 0 and closing the socket again. The test bed then opens 242 relay sockets, also on port 0, before the agents start: in 18 of 200 test beds one of them had got an agent's port, in 3 of 200 a port was chosen twice.

Change: ports come from a block below the ports that the system assigns; each process locks its block by listening on the first port. SignalTest and Testbed, which had copies of the old choice, use it too, and BackendPoolTest keeps its refusing port bound. The failure now shows the log of each agent concerned.

--- a/src/main/java/passhatch/lab/drill/AgentProcess.java
+++ b/src/main/java/passhatch/lab/drill/AgentProcess.java
@@ -28,8 +28,8 @@
     public AgentProcess(Path jar, Path folder, String name) throws IOException {
         this.name = name;
         this.folder = Files.createDirectories(folder);
-        this.controlAddress = LocalNetwork.freeTcpAddress();
-        this.listenAddress = LocalNetwork.freeUdpAddress();
+        this.controlAddress = LocalNetwork.reserveAddress();
+        this.listenAddress = LocalNetwork.reserveAddress();
         this.process =
                 new ChildProcess(
                         folder.getFileName().toString(),
--- a/src/main/java/passhatch/lab/drill/ChangesTestbed.java
+++ b/src/main/java/passhatch/lab/drill/ChangesTestbed.java
@@ -46,7 +46,7 @@
         agentCount = REPLICA_COUNT + RELAY_COUNT + subscribers;
         changesRelay = new UdpRelay(agentCount, new Seeds(seed).stream("changes"));
         for (int i = 0; i < agentCount; i++) {
-            listenAddresses.add(LocalNetwork.freeUdpAddress());
+            listenAddresses.add(LocalNetwork.reserveAddress());
             changesRelay.setListenAddress(i, listenAddresses.get(i));
         }
         List<String> names = IntStream.range(0, agentCount).mapToObj(i -> "m" + i).toList();
@@ -178,7 +178,14 @@
         await(
                 () -> allAgents().stream().allMatch(this::isCurrent),
                 timeoutMs,
-                "not all are current");
+                () -> "not all are current: " + describeAgentsThatAreNotCurrent());
+    }
+
+    private String describeAgentsThatAreNotCurrent() {
+        return allAgents().stream()
+                .filter(i -> !isCurrent(i))
+                .map(i -> "m" + i + ": " + agent(i).process().logTail())
+                .collect(Collectors.joining("\n"));
     }
 
     /**
--- a/src/main/java/passhatch/lab/drill/LocalNetwork.java
+++ b/src/main/java/passhatch/lab/drill/LocalNetwork.java
@@ -1,40 +1,32 @@
 package passhatch.lab.drill;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.channels.DatagramChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
-/** Finds free addresses on this machine and sends control calls to local processes. */
-final class LocalNetwork {
+/** Reserves addresses on this machine and sends control calls to local processes. */
+public final class LocalNetwork {
 
     private static final int CALL_TIMEOUT_MS = 1_000;
 
-    private LocalNetwork() {}
+    /** The ports that this process gives out; null until the first is needed. */
+    private static PortBlock portBlock;
 
-    /**
-     * Returns a TCP address that is currently free. Another process may take it before the caller
-     * uses it.
-     */
-    static InetSocketAddress freeTcpAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-    }
+    private LocalNetwork() {}
 
     /**
-     * Returns a UDP address that is currently free. Another process may take it before the caller
-     * uses it.
+     * Returns a loopback address for a process that is started later. Its port is free for TCP and
+     * UDP, and stays so: no other process reserves it, and no socket without a fixed port gets it.
+     *
+     * @throws IOException if no port is free
      */
-    static InetSocketAddress freeUdpAddress() throws IOException {
-        try (DatagramChannel socket = DatagramChannel.open()) {
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            return (InetSocketAddress) socket.getLocalAddress();
+    public static synchronized InetSocketAddress reserveAddress() throws IOException {
+        if (portBlock == null) {
+            portBlock = PortBlock.reserve();
         }
+        return portBlock.nextFreeAddress();
     }
 
     static String format(InetSocketAddress address) {
--- a/src/main/java/passhatch/lab/drill/ProxyProcess.java
+++ b/src/main/java/passhatch/lab/drill/ProxyProcess.java
@@ -108,8 +108,8 @@
     }
 
     private void choosePorts() throws IOException {
-        listenAddress = LocalNetwork.freeTcpAddress();
-        controlAddress = LocalNetwork.freeTcpAddress();
+        listenAddress = LocalNetwork.reserveAddress();
+        controlAddress = LocalNetwork.reserveAddress();
         prepareProcess();
     }
 
--- a/src/main/java/passhatch/lab/drill/Testbed.java
+++ b/src/main/java/passhatch/lab/drill/Testbed.java
@@ -5,8 +5,6 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -76,7 +74,7 @@
                     new ProxyProcess.SharedConfig(
                             jar, folder, scenario, discovery.address(), jvmOptions);
             for (int i = 0; i < scenario.proxies().count(); i++) {
-                InetSocketAddress peerListenAddress = freeUdpAddress();
+                InetSocketAddress peerListenAddress = LocalNetwork.reserveAddress();
                 relay.setListenAddress(i, peerListenAddress);
                 proxies.add(
                         new ProxyProcess(
@@ -102,12 +100,6 @@
                 TimeUnit.MICROSECONDS.convert(backends.coldDuration()));
     }
 
-    private static InetSocketAddress freeUdpAddress() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) socket.getLocalSocketAddress();
-        }
-    }
-
     /** Starts all proxy processes concurrently and waits until each is ready. */
     void startProxies(long readyTimeoutMs) throws IOException, InterruptedException {
         for (ProxyProcess proxy : proxies) {
--- a/src/test/java/passhatch/proxy/SignalTest.java
+++ b/src/test/java/passhatch/proxy/SignalTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.lab.drill.LocalNetwork;
 import passhatch.proxy.HttpConnection.Message;
 import passhatch.proxy.base.EventLog;
 
@@ -45,7 +46,7 @@
                                 connection.respond("200 OK", request.header("X-Request-Id"));
                             });
             rig.lines.add(Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING")));
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = LocalNetwork.reserveAddress();
             Process process = serve(rig, address);
             try {
                 awaitListening(address);
@@ -101,9 +102,9 @@
                                 connection.respond("200 OK", request.header("X-Request-Id"));
                             });
             String list = Rig.list(8, true, Rig.entry("s", backend.address(), "SERVING"));
-            InetSocketAddress address = freeAddress();
-            InetSocketAddress firstControl = freeAddress();
-            InetSocketAddress secondControl = freeAddress();
+            InetSocketAddress address = LocalNetwork.reserveAddress();
+            InetSocketAddress firstControl = LocalNetwork.reserveAddress();
+            InetSocketAddress secondControl = LocalNetwork.reserveAddress();
             Process first = serve(rig, address, firstControl);
             Process second = null;
             try {
@@ -431,7 +432,7 @@
                                                     + "\r\n"
                                                     + list
                                                     + "\n\r\n"));
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = LocalNetwork.reserveAddress();
             Process process = serve(rig, address);
             try {
                 awaitListening(address);
@@ -468,7 +469,7 @@
     void logsThatSighupIsIgnoredIfStartedSo() throws Exception {
         try (Rig rig = new Rig(folder)) {
             Map<String, String> env = new HashMap<>(rig.environment());
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = LocalNetwork.reserveAddress();
             env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
             ProcessBuilder builder = command(env);
             builder.command().addAll(0, List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
@@ -510,12 +511,6 @@
         return builder;
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) free.getLocalSocketAddress();
-        }
-    }
-
     private static void awaitListening(InetSocketAddress address) throws InterruptedException {
         while (!listens(address)) {
             Thread.sleep(10);
--- a/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/backend/BackendPoolTest.java
@@ -449,11 +449,11 @@
 
     @Test
     void aRefusedConnectionIsAConnectFailure() throws Exception {
-        InetSocketAddress nobody;
-        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            nobody = (InetSocketAddress) closed.getLocalSocketAddress();
+        try (Socket bound = new Socket()) {
+            bound.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress notListening = (InetSocketAddress) bound.getLocalSocketAddress();
+            assertEquals(Outcome.CONNECT_FAILED, sendAndAwait(notListening));
         }
-        assertEquals(Outcome.CONNECT_FAILED, sendAndAwait(nobody));
     }
 
     /**
