Take the events of the decision module and the due times of responses out of ProxyLoop

Change: BalancerEvents queues and dispatches the events and reports stalls; ResponseDeadlines has the margins and the limit during a shutdown. Both are moved code, behaviour is unchanged.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,21 +43,6 @@
  */
 final class ProxyLoop implements Actions, ListWatch.Listener, RequestHandler {
 
-    /**
-     * A response is due this long before the client's deadline, to allow for the time on the
-     * network and for delays of the event loop. For a short deadline the margin is only a fraction
-     * of the time that the client allows.
-     */
-    private static final long RESPONSE_MARGIN_US = 20_000;
-
-    private static final long RESPONSE_MARGIN_DIVISOR = 8;
-
-    /**
-     * After a stall, responses are due earlier, to allow for another stall. This allowance is at
-     * most the time that the client allows, divided by this number.
-     */
-    private static final long STALL_ALLOWANCE_DIVISOR = 4;
-
     /**
      * If the decision module has given no response by the time at which it is due, the proxy itself
      * responds this much later.
@@ -76,12 +60,6 @@
      */
     private static final long MAX_TRANSIT_US = 100_000;
 
-    /**
-     * Delay of each of the two timers that follow a stall. A timer with this delay fires only after
-     * the current pass of the event loop.
-     */
-    private static final long POST_STALL_TIMER_DELAY_MS = 1;
-
     /**
      * Maximum time of an upload. Even the slowest clients, which send 64 kB per second, finish an
      * upload sooner, so an upload that takes longer would never end.
@@ -102,20 +80,13 @@
     private final StallDetector stallDetector;
     private final DiscoveryClient discovery;
     private final Balancer balancer;
+    private final BalancerEvents events;
+    private final ResponseDeadlines deadlines;
     private final int maxAttempts;
     private final List<RequestClass> classes;
     private final long maxRetryAfterUs;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final BackendTable backends = new BackendTable();
-    private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
-    private boolean dispatching;
-
-    /**
-     * True from the detection of a stall of the event loop until the loop has polled all
-     * connections again.
-     */
-    private boolean catchingUp;
-
     private boolean listReceived;
 
     /**
@@ -129,18 +100,6 @@
     /** The number of unanswered requests whose bodies are still being received. */
     private int uploadingCount;
 
-    /**
-     * Latest time at which a response is due, for every request whose deadline starts from now on;
-     * {@code Long.MAX_VALUE} until {@link #limitResponseTime} sets a limit.
-     */
-    private long latestDeadlineUs = Long.MAX_VALUE;
-
-    /**
-     * An event that waits until the decision module is notified of it; {@code exchange} is null if
-     * the event does not concern a request.
-     */
-    private record Event(Exchange exchange, Runnable notification) {}
-
     ProxyLoop(
             EventLoop loop,
             Clock clock,
@@ -173,7 +132,11 @@
                                 config.settings().rules().drainGraceUs()),
                         config.seed(),
                         this);
+        this.deadlines = new ResponseDeadlines(clock, stallDetector);
         this.balancer = balancerFactory.create(config.settings(), config.seed(), this);
+        this.events =
+                new BalancerEvents(
+                        loop, clock, log, stallDetector, balancer, this::respondAfterError);
         applyInitialList(config.initialList());
         useInitialListAtUs =
                 backends.listedCount() == 0
@@ -195,7 +158,7 @@
 
     /** Sets the time within which every request accepted from now on gets its response. */
     void limitResponseTime(long timeoutUs) {
-        latestDeadlineUs = clock.nowUs() + timeoutUs;
+        deadlines.limit(timeoutUs);
     }
 
     int unansweredCount() {
@@ -231,8 +194,7 @@
 
     private void applyInitialList(EndpointList initialList) {
         updateBackends(initialList);
-        notifyBalancer(
-                null,
+        events.add(
                 () ->
                         balancer.serversChanged(
                                 clock.nowUs(), ListKind.REMEMBERED, initialList.servers()));
@@ -242,8 +204,7 @@
     public void onList(EndpointList list, ListFreshness freshness) {
         updateBackends(list);
         listReceived = true;
-        notifyBalancer(
-                null,
+        events.add(
                 () ->
                         balancer.serversChanged(
                                 clock.nowUs(),
@@ -254,33 +215,32 @@
 
     @Override
     public void onUnchanged(ListFreshness freshness) {
-        notifyBalancer(null, () -> balancer.listCurrent(clock.nowUs(), freshness));
+        events.add(() -> balancer.listCurrent(clock.nowUs(), freshness));
     }
 
     @Override
     public void onMessagePending(long sinceUs) {
-        notifyBalancer(null, () -> balancer.listPending(sinceUs));
+        events.add(() -> balancer.listPending(sinceUs));
     }
 
     @Override
     public void onWatchLost() {
-        notifyBalancer(null, () -> balancer.discoveryFailed(clock.nowUs()));
+        events.add(() -> balancer.discoveryFailed(clock.nowUs()));
     }
 
     @Override
     public void onCallRejected() {
-        notifyBalancer(null, balancer::discoveryTurnedAway);
+        events.add(balancer::discoveryTurnedAway);
     }
 
     @Override
     public void onDiscoveryReached() {
-        notifyBalancer(null, balancer::discoveryReached);
+        events.add(balancer::discoveryReached);
     }
 
     @Override
     public void onAddressChanged() {
-        notifyBalancer(
-                null,
+        events.add(
                 () -> {
                     long nowUs = clock.nowUs();
                     balancer.discoveryMoved(nowUs, nowUs - stallDetector.unreadUs(nowUs));
@@ -307,7 +267,7 @@
             startDeadline(exchange, unreadUs);
         }
         long uploadBudgetUs = exchange.uploading ? request.timeoutUs() : 0;
-        notifyBalancer(
+        events.add(
                 exchange,
                 () -> {
                     long nowUs = clock.nowUs();
@@ -360,24 +320,10 @@
     }
 
     private void startDeadline(Exchange exchange, long unreadUs) {
-        exchange.deadlineUs = Math.min(responseDueUs(exchange, unreadUs), latestDeadlineUs);
+        exchange.deadlineUs = deadlines.dueUs(exchange.request.timeoutUs(), unreadUs);
         setFallbackTimer(exchange, exchange.deadlineUs, () -> respondIfOverdue(exchange));
     }
 
-    /** Returns when a response is due if the request's last byte has waited for the given time. */
-    private long responseDueUs(Exchange exchange, long unreadUs) {
-        // Stalls cannot be predicted, so after a recent stall the response is due sooner, to
-        // allow for another stall of that length. The time that the client allows limits this
-        // allowance.
-        long budgetUs = exchange.request.timeoutUs();
-        long marginUs =
-                Math.min(RESPONSE_MARGIN_US, budgetUs / RESPONSE_MARGIN_DIVISOR)
-                        + Math.min(
-                                stallDetector.responseMarginUs(),
-                                budgetUs / STALL_ALLOWANCE_DIVISOR);
-        return clock.nowUs() + budgetUs - unreadUs - marginUs;
-    }
-
     private void setFallbackTimer(Exchange exchange, long dueUs, Runnable action) {
         exchange.cancelFallbackTimer();
         exchange.fallbackTimer =
@@ -399,7 +345,8 @@
     }
 
     private long uploadDueUs(Exchange exchange) {
-        return responseDueUs(exchange, exchange.responder.unreadUs());
+        return deadlines.dueWithoutLimitUs(
+                exchange.request.timeoutUs(), exchange.responder.unreadUs());
     }
 
     private void checkUpload(Exchange exchange) {
@@ -426,7 +373,7 @@
         if (streaming) {
             cancelAttempts(exchange);
         } else {
-            notifyBalancer(exchange, () -> balancer.clientGone(clock.nowUs(), id));
+            events.add(exchange, () -> balancer.clientGone(clock.nowUs(), id));
         }
         removeIfCompleted(exchange);
     }
@@ -455,7 +402,7 @@
     /** Sends a response that the decision module has not chosen, and notifies the module. */
     private void respondUnasked(Exchange exchange, ProxyResponse response) {
         sendResponse(exchange, response);
-        notifyBalancer(exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
+        events.add(exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
         removeIfCompleted(exchange);
     }
 
@@ -472,7 +419,7 @@
         markResponseChosen(exchange);
         attempt.streaming = true;
         log.trace("streams", exchange.request.id(), stream.length());
-        notifyBalancer(
+        events.add(
                 exchange,
                 () ->
                         balancer.streamStarted(
@@ -527,7 +474,7 @@
                             + elapsedUs
                             + " us");
         }
-        notifyBalancer(
+        events.add(
                 exchange,
                 () ->
                         balancer.outcome(
@@ -542,63 +489,11 @@
         removeIfCompleted(exchange);
     }
 
-    /**
-     * Notifies the decision module of an event after all earlier events. The module must not be
-     * called from within one of its own actions, so events that an action causes are queued until
-     * the module has returned.
-     */
-    private void notifyBalancer(Exchange exchange, Runnable notification) {
-        pendingEvents.add(new Event(exchange, notification));
-        if (dispatching) {
-            return;
-        }
-        reportStall();
-        dispatching = true;
-        for (Event event = pendingEvents.poll(); event != null; event = pendingEvents.poll()) {
-            try {
-                event.notification().run();
-            } catch (RuntimeException | Error error) {
-                // An error must not prevent the queued events and all later ones from being
-                // processed.
-                log.bug("in the decision module", error);
-                if (event.exchange() != null && !event.exchange().responseChosen) {
-                    sendResponse(event.exchange(), ProxyResponse.failed());
-                    removeIfCompleted(event.exchange());
-                }
-            }
-        }
-        dispatching = false;
-    }
-
-    /**
-     * Reports a stall to the decision module, as messages from discovery may have arrived during
-     * the stall and may still be unread at the next decision. Those messages have been read once
-     * the event loop has polled all connections again. That is certain after two successive timers,
-     * of which the first sets the second.
-     */
-    private void reportStall() {
-        long nowUs = clock.nowUs();
-        long unreadUs = stallDetector.unreadUs(nowUs);
-        if (unreadUs <= ListLease.MAX_STALL_US || catchingUp) {
-            return;
-        }
-        catchingUp = true;
-        balancer.listUnread(nowUs - unreadUs);
-        log.write("held up for " + TimeUnit.MICROSECONDS.toMillis(unreadUs) + " ms");
-        loop.schedule(
-                () ->
-                        loop.schedule(
-                                this::onCaughtUp, POST_STALL_TIMER_DELAY_MS, TimeUnit.MILLISECONDS),
-                POST_STALL_TIMER_DELAY_MS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void onCaughtUp() {
-        catchingUp = false;
-        if (stallDetector.unreadUs(clock.nowUs()) <= ListLease.MAX_STALL_US) {
-            notifyBalancer(null, () -> balancer.listRead(clock.nowUs()));
-        } else {
-            reportStall();
+    /** Responds to a request at one of whose events the decision module threw an error. */
+    private void respondAfterError(Exchange exchange) {
+        if (!exchange.responseChosen) {
+            sendResponse(exchange, ProxyResponse.failed());
+            removeIfCompleted(exchange);
         }
     }
 
@@ -656,7 +551,7 @@
                                 metrics.countBackendRequest();
                                 if (body.isLong()) {
                                     attempt.sentAtUs = clock.nowUs();
-                                    notifyBalancer(
+                                    events.add(
                                             exchange,
                                             () ->
                                                     balancer.bodyWritten(
@@ -705,8 +600,7 @@
 
     private HttpRequest buildRequest(Exchange exchange, long deadlineUs) {
         if (exchange.request.body().isLong()) {
-            notifyBalancer(
-                    exchange, () -> balancer.bodySpent(clock.nowUs(), exchange.request.id()));
+            events.add(exchange, () -> balancer.bodySpent(clock.nowUs(), exchange.request.id()));
         }
         return BackendRequests.buildRequest(exchange.request, deadlineUs - clock.nowUs());
     }
@@ -763,8 +657,7 @@
                         PROBE_TIMEOUT_US,
                         Outcome.TIMEOUT),
                 result ->
-                        notifyBalancer(
-                                null,
+                        events.add(
                                 () -> {
                                     long nowUs = clock.nowUs();
                                     balancer.probeResult(
@@ -785,7 +678,7 @@
     @Override
     public void wakeAt(long atUs) {
         loop.schedule(
-                () -> notifyBalancer(null, () -> balancer.timer(clock.nowUs())),
+                () -> events.add(() -> balancer.timer(clock.nowUs())),
                 Math.max(0, atUs - clock.nowUs()),
                 TimeUnit.MICROSECONDS);
     }
