Test, known red: a time-out soon after the end of a long body puts its server in cooldown

The log has "rests: calls to it stay unanswered" 18 times (at most once in 10 s). Since the time of a long request runs while its body is still read, so little may be left for the server.

No code of the product is changed.

--- a/src/test/java/passhatch/StreamedBodyTest.java
+++ b/src/test/java/passhatch/StreamedBodyTest.java
@@ -13,6 +13,9 @@
 /** Requests and responses whose bodies are streamed. */
 final class StreamedBodyTest {
 
+    /** Time after which a server responds in {@link Proxy#serve}, in milliseconds. */
+    private static final long USUAL_LATENCY_MS = 50;
+
     @Test
     void aRequestWithoutItsBodyIsNotRetriedThoughItsClassIsSafe() {
         Proxy proxy = new Proxy(setup()).startWith("a", "b", "c");
@@ -41,6 +44,27 @@
         assertEquals(1, proxy.balancer.hostsDown(proxy.nowUs), "its response is overdue");
     }
 
+    /**
+     * Guards against cooldowns of servers that got the end of a long body shortly before the
+     * client's deadline.
+     */
+    @Test
+    void aTimeoutSoonAfterTheEndOfABodySaysNothingOfTheServer() {
+        Proxy proxy = new Proxy(setup()).startWith("a", "b");
+        for (int i = 0; i < 30; i++) {
+            proxy.serve();
+        }
+        for (int i = 0; i < 4; i++) {
+            String request = proxy.request(Proxy.UNSAFE);
+            proxy.balancer.bodySpent(proxy.nowUs, request);
+            proxy.advance(900);
+            proxy.balancer.bodyWritten(proxy.nowUs, request, 0);
+            proxy.advance(USUAL_LATENCY_MS / 10);
+            proxy.endAttempt(request, Outcome.TIMEOUT);
+            assertEquals(0, proxy.balancer.hostsDown(proxy.nowUs));
+        }
+    }
+
     /** The time that a client takes to read a response does not depend on the server. */
     @Test
     void aServerWhoseResponseHasBegunCountsAsIdle() {
