Test, known red: bad clients, late bodies and leaving clients at a real proxy process

ProxyProcess now derives the heap as deploy/serve.sh does (half of the memory from 150 MB on, as all drills have a control address).

Heads of short fields end the process in four of five cases (the fifth: 74 MB of 72); half-sent requests get nearly all of 280 others refused; unread answers to /ready end the process; a body that begins late never reaches the client; attempts begin 0.2 to 0.38 s after their client left; unsafe requests run twice, at either process of an upgrade too.

--- a/src/main/java/passhatch/lab/drill/ChildProcess.java
+++ b/src/main/java/passhatch/lab/drill/ChildProcess.java
@@ -61,7 +61,7 @@
      * @param signal name of the signal without the prefix SIG, such as TERM
      * @return false if the process is not running or the signal cannot be sent
      */
-    synchronized boolean signal(String signal) throws IOException, InterruptedException {
+    public synchronized boolean signal(String signal) throws IOException, InterruptedException {
         if (!isAlive()) {
             return false;
         }
@@ -85,7 +85,7 @@
     }
 
     /** Waits for the process to end; returns false if it is still running after the timeout. */
-    boolean awaitExit(long timeoutMs) throws InterruptedException {
+    public boolean awaitExit(long timeoutMs) throws InterruptedException {
         Process current;
         synchronized (this) {
             current = process;
--- a/src/main/java/passhatch/lab/drill/ProxyProcess.java
+++ b/src/main/java/passhatch/lab/drill/ProxyProcess.java
@@ -24,6 +24,12 @@
 
     private static final long POLL_INTERVAL_MS = 10;
 
+    /** From this memory on, two processes of a proxy share it. */
+    private static final int MIN_SHARED_MEMORY_MB = 150;
+
+    private static final int MIN_HEAP_MB = 24;
+    private static final int MAX_HEAP_MB = 48;
+
     /** The configuration that all proxies of a drill share. */
     public record SharedConfig(
             Path jar,
@@ -54,6 +60,13 @@
             return new SharedConfig(
                     jar, folder, ScenarioReader.read("alone", scenario), discovery, jvmOptions);
         }
+
+        /** Returns the configuration of the proxies that the text of a scenario file describes. */
+        public static SharedConfig of(
+                Path jar, Path folder, String scenario, InetSocketAddress discovery) {
+            return new SharedConfig(
+                    jar, folder, ScenarioReader.read("scenario", scenario), discovery, List.of());
+        }
     }
 
     private final int index;
@@ -132,15 +145,30 @@
         }
     }
 
-    private Path writeConfiguration() throws IOException {
-        return Files.writeString(
-                folder.resolve("config.json"), JSON.writeValueAsString(buildConfiguration()));
+    private Path configurationFile() {
+        return folder.resolve("config.json");
+    }
+
+    private void writeConfiguration() throws IOException {
+        Files.writeString(configurationFile(), JSON.writeValueAsString(buildConfiguration()));
     }
 
     private void prepareProcess() throws IOException {
+        writeConfiguration();
+        process = newProcess(folder.resolve("log"));
+    }
+
+    /**
+     * Creates a further process of this proxy, with the same configuration and folder, as a change
+     * of version starts one beside the first. It is not started yet.
+     */
+    public ChildProcess newProcessBeside() throws IOException {
+        return newProcess(folder.resolve("log-beside"));
+    }
+
+    private ChildProcess newProcess(Path logFile) throws IOException {
         Path tmp = Files.createDirectories(folder.resolve("tmp"));
-        Path config = writeConfiguration();
-        Map<String, String> env =
+        Map<String, String> environment =
                 Map.of(
                         "PROXY_NAME",
                         name(),
@@ -151,17 +179,17 @@
                         "PROXY_DISCOVERY",
                         LocalNetwork.format(discoveryAddress),
                         "PROXY_CONFIG",
-                        config.toString(),
+                        configurationFile().toString(),
                         "TMPDIR",
                         tmp.toString());
-        process = new ChildProcess(name(), buildCommand(), env, folder.resolve("log"));
+        return new ChildProcess(name(), buildCommand(), environment, logFile);
     }
 
     /**
      * Returns the command that starts the proxy, with the JVM options of {@code deploy/serve.sh}.
      */
     private List<String> buildCommand() {
-        int heap = Math.max(24, Math.min(48, sharedConfig.scenario().proxies().memoryMb() / 3));
+        int heap = heapMb(sharedConfig.scenario().proxies().memoryMb());
         List<String> command =
                 new ArrayList<>(openFilesPrefix(sharedConfig.scenario().proxies().openFiles()));
         command.addAll(
@@ -184,6 +212,15 @@
         return command;
     }
 
+    /**
+     * Returns the limit on the heap that {@code deploy/serve.sh} derives from the configured
+     * memory. All proxies of a drill have a control address, so two processes may have to share it.
+     */
+    private static int heapMb(int memoryMb) {
+        int share = memoryMb >= MIN_SHARED_MEMORY_MB ? memoryMb / 2 : memoryMb;
+        return Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, share / 3));
+    }
+
     /**
      * Returns a command prefix that limits the number of open files. The prefix lowers the hard
      * limit as well as the soft limit, because the JVM raises its soft limit to the hard limit.
--- /dev/null
+++ b/src/test/java/passhatch/lab/soak/BadClientsIT.java
@@ -0,0 +1,143 @@
+package passhatch.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.IntFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.lab.Seeds;
+
+/** Clients whose misbehaviour must neither end the proxy nor cost other clients anything. */
+class BadClientsIT extends ProxyProcessCase {
+
+    private static final int CLIENTS = 330;
+    private static final int BYSTANDERS_PER_SECOND = 50;
+    private static final String READY_CALLS = "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n".repeat(100);
+
+    private final UniformRandomProvider random = new Seeds(1).stream("bad-clients");
+
+    /** Guards against heads whose fields use up the heap. */
+    @ParameterizedTest
+    @CsvSource({"72,a:,false", "144,a:,false", "192,a:,false", "72,ab:c,false", "72,a:,true"})
+    void headsOfManyShortFieldsDoNotEndTheProxy(int memoryMb, String field, boolean finished)
+            throws Exception {
+        startProxy(memoryMb);
+        try (Crowd crowd = new Crowd(testbed, "head").connect(CLIENTS);
+                Bystanders bystanders =
+                        new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            crowd.sendHeads(field + "\r\n", finished);
+            Thread.sleep(1_000);
+            List<ClientRequest> requests = bystanders.stop();
+            assertAlive();
+            assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+            assertAllServed(requests);
+        }
+    }
+
+    /** Guards against half-sent requests that take the backends from the requests of others. */
+    @ParameterizedTest
+    @ValueSource(ints = {72, 144, 192})
+    void halfSentRequestsCostOthersNothing(int memoryMb) throws Exception {
+        startProxy(memoryMb);
+        try (Bystanders bystanders = new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            Thread.sleep(500);
+            try (Crowd crowd = new Crowd(testbed, "half").connect(300)) {
+                crowd.sendHalfRequests(400_000, random);
+                Thread.sleep(5_000);
+                List<ClientRequest> requests = bystanders.stop();
+                assertAlive();
+                assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+                assertAllServed(requests);
+            }
+        }
+    }
+
+    /** Guards against long responses that are read slowly at the cost of others. */
+    @ParameterizedTest
+    @ValueSource(ints = {72, 144, 192})
+    void longResponsesReadSlowlyCostOthersNothing(int memoryMb) throws Exception {
+        startProxy(memoryMb);
+        try (Bystanders bystanders = new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            Thread.sleep(500);
+            try (Crowd crowd = new Crowd(testbed, "slow").connect(300)) {
+                crowd.readSlowly(2_000_000, 2_500, nanosFromNow(5_000));
+                List<ClientRequest> requests = bystanders.stop();
+                assertAlive();
+                assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+                assertAllServed(requests);
+            }
+        }
+    }
+
+    /** Guards against responses that a client does not read and that use up the heap. */
+    @ParameterizedTest
+    @CsvSource({"1,144", "1,72", "200,144"})
+    void readinessCallsWhoseAnswersAreNotReadDoNotEndTheProxy(int clients, int memoryMb)
+            throws Exception {
+        startProxy(memoryMb);
+        try (Crowd crowd = new Crowd(testbed, "ready").connect(clients);
+                Bystanders bystanders =
+                        new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            crowd.flood(client -> READY_CALLS, false, nanosFromNow(6_000));
+            List<ClientRequest> requests = bystanders.stop();
+            assertAlive();
+            assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+            assertAllServed(requests);
+        }
+    }
+
+    /** Guards against small requests at full speed that keep the event loop from others. */
+    @ParameterizedTest
+    @EnumSource
+    void requestsAtFullSpeedCostOthersNothing(Flood flood) throws Exception {
+        startProxy(144);
+        try (Crowd crowd = new Crowd(testbed, "flood").connect(1);
+                Bystanders bystanders =
+                        new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            crowd.flood(client -> flood.next(), true, nanosFromNow(5_000));
+            List<ClientRequest> requests = bystanders.stop();
+            assertAlive();
+            assertAllServed(requests);
+        }
+    }
+
+    /** What one client sends over and over. */
+    enum Flood {
+        READINESS(n -> "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n"),
+        SOUND(n -> RequestKind.LOOKUP.head("flood-" + n, "", 1_500) + "\r\n"),
+        TINY_CHUNKS(
+                n ->
+                        RequestKind.NOTICE.head("flood-" + n, "", 1_500)
+                                + "Transfer-Encoding: chunked\r\n\r\n"
+                                + "1\r\nx\r\n".repeat(500)
+                                + "0\r\n\r\n");
+
+        private final IntFunction<String> request;
+        private int count;
+
+        Flood(IntFunction<String> request) {
+            this.request = request;
+        }
+
+        String next() {
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                text.append(request.apply(count++));
+            }
+            return text.toString();
+        }
+    }
+
+    private String peak() {
+        try {
+            return testbed.peakMemoryMb() + " MB";
+        } catch (IOException gone) {
+            return "unknown";
+        }
+    }
+}
