Read a streamed response whose body has not begun when its forwarding starts

Cause: 200 ms after its head a response is streamed, and its connection is paused until its forwarding has begun. Only bytes that were forwarded resumed it, so with no byte of the body there it stayed paused for good. Class: a reason to pause that nobody is bound to clear.

Change: Relay.start begins a transfer, with or without bytes, and always lets the source be read; request bodies use it as well. RelayTest plays 500 orders of bytes, silence and writes: the source is read or a write is pending.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -842,7 +842,7 @@
                             },
                             client,
                             listener);
-            relay.forward(buffered.takeView());
+            relay.start(buffered.takeView());
             if (fullyReceived && relay != null) {
                 relay.finish();
             }
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -108,6 +108,17 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Starts the transfer with the bytes that have arrived so far, which may be none, and takes
+     * over the ownership of the buffer. From now on, the source is read whenever there is room.
+     */
+    public void start(ByteBuf bytes) {
+        forward(bytes);
+        if (!ended) {
+            updateReading();
+        }
+    }
+
     /** Forwards bytes and takes over the ownership of the buffer. */
     public void forward(ByteBuf bytes) {
         if (ended || !bytes.isReadable()) {
--- a/src/main/java/passhatch/proxy/flow/RequestBody.java
+++ b/src/main/java/passhatch/proxy/flow/RequestBody.java
@@ -155,7 +155,7 @@
         consumed = true;
         releaseReservation();
         relay = new Relay(loop, budget, this::setReading, backend, listener);
-        relay.forward(buffered.takeView());
+        relay.start(buffered.takeView());
         if (ended && relay != null) {
             relay.finish();
         }
--- a/src/test/java/passhatch/proxy/flow/RelayTest.java
+++ b/src/test/java/passhatch/proxy/flow/RelayTest.java
@@ -14,6 +14,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -87,6 +88,31 @@
         assertTrue(reading);
     }
 
+    /** Guards against a source that is paused although nothing waits for it to be resumed. */
+    @Test
+    void theSourceIsReadOrAWriteIsPendingInWhateverOrderBytesSilenceAndWritesCome() {
+        for (int seed = 0; seed < 500; seed++) {
+            Random random = new Random(seed);
+            reading = false;
+            peer.writes.clear();
+            Relay relay = relay(channel);
+            relay.start(bytes(random.nextInt(3) == 0 ? random.nextInt(2_000) : 0));
+            for (int step = 0; step < 20; step++) {
+                if (reading && random.nextBoolean()) {
+                    relay.forward(bytes(random.nextInt(1_500)));
+                } else if (!peer.writes.isEmpty()) {
+                    peer.writes.poll().setSuccess();
+                }
+                assertTrue(reading || !peer.writes.isEmpty(), "stuck, seed " + seed);
+            }
+            while (!peer.writes.isEmpty()) {
+                peer.writes.poll().setSuccess();
+            }
+            assertTrue(reading, "not resumed, seed " + seed);
+            relay.stop();
+        }
+    }
+
     @Test
     void completesOnceAndReleasesItsBufferedBytes() {
         Relay relay = relay(channel);
