--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -439,6 +439,12 @@
 
                     @Override
                     public void failed() {
+                        log.write(
+                                "response to "
+                                        + exchange.request.id()
+                                        + " from "
+                                        + attempt.server
+                                        + " cut off: no progress, or the client has gone");
                         clientGone(exchange.request.id());
                         exchange.responder.streamFailed();
                     }
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -78,13 +78,6 @@
      */
     private static final long MAX_BUFFERING_MS = 200;
 
-    /**
-     * Time in milliseconds between two checks of a streamed response. The response is aborted if
-     * nothing has arrived since the last check although the proxy was reading. The client then sees
-     * that the response is incomplete. Slow peers pause for one or two seconds.
-     */
-    private static final long RESPONSE_IDLE_TIMEOUT_MS = 5_000;
-
     /**
      * For this time, in microseconds, after a backend has sent unsolicited data, the connections to
      * all backends are reused only after a delay.
@@ -688,10 +681,6 @@
         private final long declaredLength;
         private final BufferedBytes buffered;
         private final Future<?> bufferingTimer;
-        private Future<?> idleTimer;
-
-        /** Whether content has arrived since the last idle check. */
-        private boolean receivedSinceCheck;
 
         private Relay relay;
         private long receivedBytes;
@@ -732,7 +721,6 @@
         }
 
         void onContent(HttpContent content) {
-            receivedSinceCheck = true;
             receivedBytes += content.content().readableBytes();
             malformed |=
                     content.decoderResult().isFailure() || receivedBytes > RequestBody.MAX_BYTES;
@@ -777,7 +765,6 @@
                 streaming = true;
                 connection.channel.config().setAutoRead(false);
                 request.cancelTimeout();
-                scheduleIdleCheck();
                 request.listener.onStreamStarted(this);
             } else {
                 connection.close();
@@ -797,31 +784,6 @@
             return streaming;
         }
 
-        /**
-         * Schedules the next idle check, which aborts the response if no content has arrived since
-         * the last check. The check never aborts while reading is paused for a slow client, because
-         * nothing can arrive then.
-         */
-        private void scheduleIdleCheck() {
-            idleTimer =
-                    loop.schedule(
-                            () -> {
-                                if (receivedSinceCheck
-                                        || !connection.channel.config().isAutoRead()) {
-                                    receivedSinceCheck = false;
-                                    scheduleIdleCheck();
-                                } else {
-                                    log.write(
-                                            "response from "
-                                                    + connection.address
-                                                    + " aborted: no more data arrives");
-                                    connection.channel.close();
-                                }
-                            },
-                            RESPONSE_IDLE_TIMEOUT_MS,
-                            TimeUnit.MILLISECONDS);
-        }
-
         @Override
         public long length() {
             return declaredLength;
@@ -864,7 +826,7 @@
          *     broken in this case unless it is streamed
          */
         void finish(boolean unsolicited) {
-            cancelTimers();
+            cancelBufferingTimer();
             byte[] body = streaming ? null : buffered.take();
             if (malformed || unsolicited && !streaming) {
                 drop();
@@ -879,7 +841,7 @@
 
         /** Drops a response that will not be completed. */
         void drop() {
-            cancelTimers();
+            cancelBufferingTimer();
             buffered.drop();
             if (relay != null) {
                 relay.stop();
@@ -887,13 +849,10 @@
             }
         }
 
-        private void cancelTimers() {
+        private void cancelBufferingTimer() {
             if (bufferingTimer != null) {
                 bufferingTimer.cancel(false);
             }
-            if (idleTimer != null) {
-                idleTimer.cancel(false);
-            }
         }
     }
 
