Keep only the header fields that the proxy uses of what peers send

Cause: the decoder made objects of every field. A head of 7.8 kB has 1,950 fields of four bytes, some 300 kB of heap, and it was held until the request was complete, so 330 clients took more than the heap. Class: memory that grows with a number that a client chooses, charged to nobody.

--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -858,7 +858,8 @@
 
     private static Result toResult(HttpResponse response, byte[] body) {
         HttpResponseStatus status = response.status();
-        LoadReport report = LoadReportParser.parse(response.headers().get("X-Load"));
+        LoadReport report =
+                LoadReportParser.parse(response.headers().get(ResponseDecoder.LOAD_HEADER));
         if (status.equals(HttpResponseStatus.OK)) {
             return new Result(Outcome.OK, body, report);
         }
@@ -867,7 +868,7 @@
         boolean rejected =
                 (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                                 || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-                        && "1".equals(response.headers().get("X-Not-Run"));
+                        && "1".equals(response.headers().get(ResponseDecoder.NOT_RUN_HEADER));
         return new Result(rejected ? Outcome.FULL : Outcome.ERROR, null, report);
     }
 }
--- a/src/main/java/passhatch/proxy/backend/ResponseDecoder.java
+++ b/src/main/java/passhatch/proxy/backend/ResponseDecoder.java
@@ -3,19 +3,33 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import passhatch.proxy.base.KnownHeaders;
 
 /**
- * Decodes a backend's responses and detects malformed HTTP that Netty's decoder accepts. Netty
- * takes a header line without a colon for a header without a value. It takes bytes after the end of
- * a response for the start of the next response. If a response has no length, Netty takes any end
- * of the connection, even a reset, for the end of the response. The channel must allow
- * half-closure, because only then can an orderly close by the peer be distinguished from any other
- * end of the connection.
+ * Decodes a backend's responses, keeps only the header fields that the proxy uses, and detects
+ * malformed HTTP that Netty's decoder accepts. Netty takes a header line without a colon for a
+ * header without a value. It takes bytes after the end of a response for the start of the next
+ * response. If a response has no length, Netty takes any end of the connection, even a reset, for
+ * the end of the response. The channel must allow half-closure, because only then can an orderly
+ * close by the peer be distinguished from any other end of the connection.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    static final String LOAD_HEADER = "X-Load";
+    static final String NOT_RUN_HEADER = "X-Not-Run";
+
+    private static final HttpDecoderConfig CONFIG =
+            KnownHeaders.decoderConfig(
+                    HttpHeaderNames.CONNECTION,
+                    HttpHeaderNames.CONTENT_LENGTH,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    LOAD_HEADER,
+                    NOT_RUN_HEADER);
+
     /** Offset of the status code in the status line, as in {@code HTTP/1.1 100}. */
     private static final int STATUS_CODE_OFFSET = 9;
 
@@ -28,6 +42,10 @@
     private boolean malformed;
     private boolean peerHalfClosed;
 
+    ResponseDecoder() {
+        super(CONFIG);
+    }
+
     /**
      * Prepares for the response to a request. Must be called when the request is written, so that
      * the next input is the head of its response.
--- a/src/main/java/passhatch/proxy/client/RequestParser.java
+++ b/src/main/java/passhatch/proxy/client/RequestParser.java
@@ -21,6 +21,13 @@
  */
 public final class RequestParser {
 
+    static final String ID_HEADER = "X-Request-Id";
+    static final String TENANT_HEADER = "X-Tenant";
+    static final String DEADLINE_HEADER = "X-Deadline";
+    static final String COST_HINT_HEADER = "X-Cost-Hint";
+    static final String RETRY_HEADER = "X-Retry";
+    static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
+
     private static final Pattern DEADLINE_PATTERN =
             Pattern.compile("(\\d{1,12}(?:\\.\\d{1,9})?)([mu])");
     private static final Pattern ID_PATTERN = Pattern.compile("[\\x21-\\x7e]{1,128}");
@@ -67,22 +74,23 @@
         }
         int requestClass = findRequestClass(http);
         HttpHeaders headers = http.headers();
-        String id = headers.get("X-Request-Id", "");
+        String id = headers.get(ID_HEADER, "");
         if (!ID_PATTERN.matcher(id).matches()) {
             throw badRequest("X-Request-Id is missing or malformed");
         }
         long timeoutUs =
-                parseTimeoutUs(headers.get("X-Deadline"), classes.get(requestClass).deadlineUs());
+                parseTimeoutUs(
+                        headers.get(DEADLINE_HEADER), classes.get(requestClass).deadlineUs());
         return new ProxyRequest(
                 id,
                 requestClass,
-                findTenant(headers.get("X-Tenant")),
+                findTenant(headers.get(TENANT_HEADER)),
                 timeoutUs,
-                parseCostHintUs(headers.get("X-Cost-Hint")),
-                "1".equals(headers.get("X-Retry")),
+                parseCostHintUs(headers.get(COST_HINT_HEADER)),
+                "1".equals(headers.get(RETRY_HEADER)),
                 http.method(),
                 http.uri(),
-                headers.get("Idempotency-Key"),
+                headers.get(IDEMPOTENCY_KEY_HEADER),
                 body);
     }
 
@@ -106,7 +114,7 @@
                         ? Effect.SAFE
                         : !http.method().equals(HttpMethod.POST)
                                 ? null
-                                : http.headers().contains("Idempotency-Key")
+                                : http.headers().contains(IDEMPOTENCY_KEY_HEADER)
                                         ? Effect.KEYED
                                         : Effect.UNSAFE;
         if (effect != classes.get(index).effect()) {
