Keep half-sent requests out of the load that decides about other requests

Cause: an attempt counted as in flight at its server from its head on. A server starts on a request with its last byte, so 300 half-sent requests looked like 25 running ones at each of twelve servers. A body that had begun quickly was also given credit: after 399 kB a client might be silent for 14 s. Class: what one kind of client does is summed up into what all others are judged by.

Change: attempts whose body is still being sent are counted apart (uploads) and are load only for other such requests. A client that is silent in the middle of a body is closed 2.5 s after its last byte, however much it sent before (3 s are allowed).

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -309,6 +309,7 @@
      * @param timeLeftUs time until the client stops waiting for a response to this request
      * @param workUs expected execution time of the request on a standard core; 0 if unknown
      * @param clientRetry whether the client marked the request as a retry
+     * @param uploading whether the client is still sending the request's body
      */
     record Request(
             String id,
@@ -316,7 +317,20 @@
             int tenant,
             long timeLeftUs,
             long workUs,
-            boolean clientRetry) {}
+            boolean clientRetry,
+            boolean uploading) {
+
+        /** Creates a request that has been received completely. */
+        public Request(
+                String id,
+                int requestClass,
+                int tenant,
+                long timeLeftUs,
+                long workUs,
+                boolean clientRetry) {
+            this(id, requestClass, tenant, timeLeftUs, workUs, clientRetry, false);
+        }
+    }
 
     /**
      * The load that a server reports; -1 for a value that it does not report.
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -264,7 +264,7 @@
         servers.forEach(server -> server.listed = server.up);
         servers.removeIf(server -> !server.listed);
         // A removed server is kept until its attempts end, as it may be listed again before that.
-        serversById.values().removeIf(server -> !server.listed && server.inFlight == 0);
+        serversById.values().removeIf(server -> !server.listed && server.inFlight + server.uploads == 0);
         if (!listReceived) {
             listReceived = true;
             watchRequestAtUs = settings.watch() ? nowUs : Long.MAX_VALUE;
@@ -546,7 +546,7 @@
         if (idle == null && sendProbesIfNeeded(nowUs, request)) {
             waiting.add(request);
             scheduleWake(request.probeWaitUntilUs);
-        } else if (request.overQuota && (server == null || load(nowUs, server) > 0)) {
+        } else if (request.overQuota && (server == null || load(nowUs, request, server) > 0)) {
             refuseOrFail(nowUs, request);
         } else if (server == null) {
             logRateLimited(nowUs, request.requestClass.name(),
@@ -634,7 +634,7 @@
             meanSendGapUs += (gapUs - meanSendGapUs) * (meanSendGapUs == 0 ? 1 : MEAN_WEIGHT);
         }
         lastSentAtUs = nowUs;
-        Attempt attempt = new Attempt(request, server, nowUs, load(nowUs, server) + request.relativeWork,
+        Attempt attempt = new Attempt(request, server, nowUs, load(nowUs, request, server) + request.relativeWork,
                 probesPerRequest == 0 || server.reportValidUntilUs > nowUs);
         request.attempts.add(attempt);
         startResponseTimer(nowUs, attempt);
@@ -688,12 +688,12 @@
                 remaining--;
                 boolean matches = switch (filter) {
                     case ANY -> hasCapacity(nowUs, request, server);
-                    case REPORTED_IDLE -> server.reportValidUntilUs > nowUs && load(nowUs, server) == 0
+                    case REPORTED_IDLE -> server.reportValidUntilUs > nowUs && load(nowUs, request, server) == 0
                             && !isDemoted(nowUs, server);
                     case UNKNOWN_LOAD -> server.probedAtUs == Long.MIN_VALUE
                             && server.reportValidUntilUs <= nowUs;
                 };
-                if (matches && (best == null || ranksBefore(nowUs, server, best))) {
+                if (matches && (best == null || ranksBefore(nowUs, request, server, best))) {
                     best = server;
                 }
             }
@@ -713,13 +713,13 @@
         // An idle server never counts as too slow for long, as its recovery would then not be seen. If only
         // this copy's own requests show load, other copies may congest a server that looks idle, so the
         // server's last latencies count for a while.
-        boolean idle = assumedLoad(nowUs, server) == 0
+        boolean idle = assumedLoad(nowUs, request, server) == 0
                 && (usesReports(nowUs) || !hasRecentLatency(nowUs, server));
         double expectedUs = expectedLatencyUs(nowUs, request, server);
         // The baseline latency does not count as waiting: in a chain of tiers it may be a third of the target
         // latency.
         double baselineUs = Math.min(latencies.classBaselineUs(request.original.requestClass()), expectedUs);
-        return idle || belowMinConcurrency(nowUs, server) && !latencies.hasBaseline()
+        return idle || belowMinConcurrency(nowUs, request, server) && !latencies.hasBaseline()
                 || expectedUs - baselineUs <= (timeUs - baselineUs) * MAX_SPARE_TIME_FRACTION
                 && !isCongested(nowUs, request, server, expectedUs);
     }
@@ -729,9 +729,9 @@
      * samples to know the baseline latency, requests are sent up to this number whatever latency the first
      * requests had: a copy that starts under full load would otherwise learn the baseline too late.
      */
-    private boolean belowMinConcurrency(long nowUs, ServerState server) {
+    private boolean belowMinConcurrency(long nowUs, RequestState request, ServerState server) {
         double copiesPerServer = Math.max(1, (double) settings.copies() * subsetSize(nowUs) / servers.size());
-        return load(nowUs, server) * copiesPerServer < MIN_SERVER_CONCURRENCY;
+        return load(nowUs, request, server) * copiesPerServer < MIN_SERVER_CONCURRENCY;
     }
 
     /**
@@ -743,7 +743,7 @@
      * tier below looks like congestion: a copy then sends only the minimum concurrency to each server.
      */
     private boolean isCongested(long nowUs, RequestState request, ServerState server, double expectedUs) {
-        return !belowMinConcurrency(nowUs, server)
+        return !belowMinConcurrency(nowUs, request, server)
                 && latencies.meanLatencyUs() > latencies.baselineLatencyUs() * OVERALL_CONGESTION_FACTOR
                 && expectedUs > latencies.baselineLatencyUs() * relativeLatency(request) * CONGESTED_FACTOR;
     }
@@ -768,22 +768,23 @@
         double usualUs = latencies.unitLatencyUs() / capacityFraction(server, nowUs);
         double unitUs = hasRecentLatency(nowUs, server) ? server.unitLatencyUs()
                 : server.loadSum > 0 ? Math.min(server.unitLatencyUs(), usualUs) : usualUs;
-        return unitUs * (assumedLoad(nowUs, server) + request.relativeWork * EXTRA_WORK_FACTOR)
+        return unitUs * (assumedLoad(nowUs, request, server) + request.relativeWork * EXTRA_WORK_FACTOR)
                 * relativeLatency(request);
     }
 
     /**
      * Returns the known number of requests in flight at a server: those of this copy, or those of all copies
-     * while the server's load report is valid.
+     * while the server's load report is valid. Requests whose body is still being sent count only for other
+     * such requests: clients that stop half way must not take the server from those that have sent all.
      */
-    private static int load(long nowUs, ServerState server) {
-        return server.reportValidUntilUs > nowUs ? Math.max(server.inFlight, server.reportedLoad)
-                : server.inFlight;
+    private static int load(long nowUs, RequestState request, ServerState server) {
+        int own = server.inFlight + (request.original.uploading() ? server.uploads : 0);
+        return server.reportValidUntilUs > nowUs ? Math.max(own, server.reportedLoad) : own;
     }
 
-    private int assumedLoad(long nowUs, ServerState server) {
-        return server.reportValidUntilUs > nowUs ? load(nowUs, server)
-                : Math.max(server.inFlight, (int) meanReportedLoad);
+    private int assumedLoad(long nowUs, RequestState request, ServerState server) {
+        return server.reportValidUntilUs > nowUs ? load(nowUs, request, server)
+                : Math.max(load(nowUs, request, server), (int) meanReportedLoad);
     }
 
     /** Returns the minimum latency that a request can be expected to have. */
@@ -801,9 +802,9 @@
      * those with the fewest requests in flight, demoted or not; among equals, the lower turn time comes
      * first.
      */
-    private boolean ranksBefore(long nowUs, ServerState a, ServerState b) {
-        int loadA = load(nowUs, a);
-        int loadB = load(nowUs, b);
+    private boolean ranksBefore(long nowUs, RequestState request, ServerState a, ServerState b) {
+        int loadA = load(nowUs, request, a);
+        int loadB = load(nowUs, request, b);
         boolean idleA = loadA == 0 && !isDemoted(nowUs, a);
         boolean idleB = loadB == 0 && !isDemoted(nowUs, b);
         if (idleA != idleB) {
@@ -900,8 +901,8 @@
             return;
         }
         RequestState request = attempt.request;
+        removeLoad(attempt);
         attempt.outstanding = false;
-        attempt.server.inFlight -= attempt.responseStarted ? 0 : 1;
         request.outstandingAttempts--;
         if (attempt.server.draining) {
             closeIdle(attempt.server.id);
@@ -1046,8 +1047,8 @@
             return;
         }
         // The server has done its work: how long the rest of the response takes depends on the client.
+        removeLoad(attempt);
         attempt.responseStarted = true;
-        attempt.server.inFlight--;
         recordOutcome(nowUs, attempt.server, Outcome.OK);
         recordLatency(nowUs, attempt, true, elapsedUs);
         attempt.request.completed = true;
@@ -1060,15 +1061,33 @@
         RequestState request = requests.get(requestId);
         if (request != null) {
             request.bodyNotReplayable = true;
-            request.attempts.forEach(attempt -> attempt.uploading = attempt.outstanding);
+            request.attempts.forEach(Logic::startUpload);
         }
     }
 
+    private static void startUpload(Attempt attempt) {
+        if (attempt.awaitsResponse()) {
+            attempt.server.inFlight--;
+            attempt.server.uploads++;
+            attempt.uploading = true;
+        }
+    }
+
+    /** Takes an attempt that ends, or whose response starts, out of the load of its server. */
+    private static void removeLoad(Attempt attempt) {
+        attempt.server.inFlight -= attempt.awaitsResponse() ? 1 : 0;
+        attempt.server.uploads -= attempt.uploading && !attempt.responseStarted ? 1 : 0;
+    }
+
     @Override
     public void bodyWritten(long nowUs, String requestId, int attemptNumber) {
         Attempt attempt = findOutstandingAttempt(requestId, attemptNumber);
         if (attempt != null && attempt.uploading) {
             attempt.uploading = false;
+            if (!attempt.responseStarted) {
+                attempt.server.uploads--;
+                attempt.server.inFlight++;
+            }
             startResponseTimer(nowUs, attempt);
         }
     }
--- a/src/main/java/passhatch/ServerState.java
+++ b/src/main/java/passhatch/ServerState.java
@@ -28,11 +28,14 @@
     boolean draining;
 
     /**
-     * Number of this copy's attempts at this server that await a response. Attempts count even
-     * while this server drains or is not listed.
+     * Number of this copy's attempts at this server that await a response. Attempts whose body is
+     * still being sent do not count. The others do, even while this server drains or is not listed.
      */
     int inFlight;
 
+    /** Number of this copy's attempts at this server whose body is still being sent. */
+    int uploads;
+
     /**
      * Time that orders servers by turn, the lowest first: when this server was last assigned a
      * request, shifted to a later time if this server is slow and to an earlier time if it is
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -283,7 +283,8 @@
                                                     ? uploadBudgetUs
                                                     : exchange.deadlineUs - nowUs),
                                     request.costHintUs(),
-                                    request.clientRetry()));
+                                    request.clientRetry(),
+                                    uploadBudgetUs > 0));
                 });
         return true;
     }
--- a/src/main/java/passhatch/proxy/client/ReadTimeout.java
+++ b/src/main/java/passhatch/proxy/client/ReadTimeout.java
@@ -26,6 +26,12 @@
      */
     private static final long MAX_BODY_PAUSE_US = 1_500_000;
 
+    /**
+     * Time in microseconds after the last byte of a body, however much was received before. A
+     * client that stops in the middle of a request must be told within 3 s.
+     */
+    private static final long MAX_BODY_SILENCE_US = 2_500_000;
+
     /**
      * Minimum rate of a request body, in bytes per microsecond. It is half of the 64 kB a second
      * that the slowest clients send, because these clients send in bursts.
@@ -51,6 +57,9 @@
     /** Time in microseconds at which reading of the current body started or last resumed. */
     private long readingBodySinceUs;
 
+    /** Time in microseconds at which the last bytes of the current body were received. */
+    private long lastBodyBytesUs;
+
     /** Number of bytes of the body that were received since {@link #readingBodySinceUs}. */
     private long receivedBodyBytes;
 
@@ -87,6 +96,7 @@
     /** Called when a part of the body has been received. */
     void onBodyBytes(int count) {
         receivedBodyBytes += count;
+        lastBodyBytesUs = clock.nowUs();
     }
 
     /** Called when a request has been received completely. */
@@ -115,6 +125,7 @@
 
     private void restartBody() {
         readingBodySinceUs = clock.nowUs();
+        lastBodyBytesUs = readingBodySinceUs;
         receivedBodyBytes = 0;
     }
 
@@ -140,9 +151,13 @@
         if (!receivingBody) {
             return headUs;
         }
-        long sinceUs = bodyPaused ? clock.nowUs() : readingBodySinceUs;
-        return Math.max(
-                headUs,
-                sinceUs + MAX_BODY_PAUSE_US + (long) (receivedBodyBytes / MIN_BODY_BYTES_PER_US));
+        if (bodyPaused) {
+            return Math.max(headUs, clock.nowUs() + MAX_BODY_PAUSE_US);
+        }
+        long slowestUs =
+                readingBodySinceUs
+                        + MAX_BODY_PAUSE_US
+                        + (long) (receivedBodyBytes / MIN_BODY_BYTES_PER_US);
+        return Math.max(headUs, Math.min(slowestUs, lastBodyBytesUs + MAX_BODY_SILENCE_US));
     }
 }
