Stop reading a client that does not read its responses, and give others their turn

Cause: /ready is answered at once, so it never counted as pending, and its responses piled up behind a full socket. One read of 16 kB brought 400 requests, and up to 16 such reads ran before any other connection had a turn. Input that was read ahead was charged by its bytes, not by its buffers. Class: queues without an owner that bounds them, and turns measured in reads instead of requests.

Change: responses that are not written count towards the limit of four requests on a connection; who reads none for 30 s is closed. Between requests input is decoded in parts of 128 bytes, and after a part that completes a request the event loop polls the other connections first; a client's connection is read once a turn. Buffers are charged in full.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -1,6 +1,7 @@
 package passhatch.proxy.client;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -34,8 +35,8 @@
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
     /**
-     * Maximum number of unanswered requests on one connection. Further requests on it are not
-     * processed until one of these has been answered.
+     * Maximum number of unanswered requests and unwritten responses on one connection. Further
+     * requests on it are not processed until there are fewer.
      */
     private static final int MAX_PIPELINED = 4;
 
@@ -49,6 +50,9 @@
     /** The wait for admission is at most the time that the client allows, divided by this. */
     private static final long ADMISSION_WAIT_DIVISOR = 8;
 
+    /** Time in milliseconds within which a client has to read a response that was sent to it. */
+    private static final long MAX_WRITE_MS = 30_000;
+
     private final HttpFrontend frontend;
     private final SocketChannel channel;
     private final EventLoop loop;
@@ -65,6 +69,9 @@
     /** True while a request has been received in part, but not completely. */
     private boolean requestStarted;
 
+    /** The number of responses that wait in this process until the client reads earlier ones. */
+    private int unwrittenResponses;
+
     private long idleSinceUs;
 
     /**
@@ -257,8 +264,10 @@
     }
 
     private void updateReading() {
+        readAhead.setReceivingBody(incoming != null);
         readAhead.setInputWanted(
-                pendingRequests.size() < MAX_PIPELINED && !readTimeout.bodyPaused());
+                pendingRequests.size() + unwrittenResponses < MAX_PIPELINED
+                        && !readTimeout.bodyPaused());
     }
 
     // ---- requests
@@ -536,14 +545,35 @@
         if (!keepAlive) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        channel.writeAndFlush(message)
-                .addListener(
-                        written -> {
-                            traceLastByte(pending, written.isSuccess());
-                            if (!keepAlive) {
-                                closeAfterResponse(pending);
-                            }
-                        });
+        ChannelFuture writing = channel.writeAndFlush(message);
+        boolean waits = !writing.isDone();
+        if (waits) {
+            unwrittenResponses++;
+            closeUnlessWritten(writing);
+        }
+        writing.addListener(
+                written -> {
+                    traceLastByte(pending, written.isSuccess());
+                    unwrittenResponses -= waits ? 1 : 0;
+                    if (!keepAlive) {
+                        closeAfterResponse(pending);
+                    } else if (waits) {
+                        updateReading();
+                    }
+                });
+    }
+
+    /** Closes the connection if the client does not read a response in time. */
+    private void closeUnlessWritten(ChannelFuture writing) {
+        Future<?> timeout =
+                loop.schedule(
+                        () -> {
+                            frontend.log().write("client connection closed: it reads no responses");
+                            channel.close();
+                        },
+                        MAX_WRITE_MS,
+                        TimeUnit.MILLISECONDS);
+        writing.addListener(written -> timeout.cancel(false));
     }
 
     private void traceLastByte(PendingRequest pending, boolean success) {
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -141,7 +141,9 @@
                         .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
-                        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Relay.READ_SIZES)
+                        .childOption(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                Relay.readSizes().maxMessagesPerRead(1))
                         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import passhatch.proxy.client.InputArrival.LoopTime;
 import passhatch.proxy.flow.BufferBudget;
@@ -13,13 +14,22 @@
  * because the proxy sees a disconnect only after it has read everything that the client sent
  * before. The input is buffered up to a limit. Beyond the limit, reading stops until input is
  * wanted again, and a disconnect is not seen until then.
+ *
+ * <p>Between two requests, input is forwarded in small parts, and after each part that completes a
+ * request the other connections come first. So a client that sends many requests at once cannot
+ * hold up the event loop.
  */
 final class ReadAhead extends ChannelInboundHandlerAdapter {
 
+    /** Maximum number of bytes that are forwarded at a time while no body is being received. */
+    private static final int MAX_HEAD_PART_BYTES = 128;
+
     /**
      * Bytes that were read, with the earliest time in microseconds at which they may have arrived.
+     *
+     * @param chargedBytes what the whole buffer occupies, however much of it is used
      */
-    private record Input(ByteBuf bytes, long earliestArrivalUs) {}
+    private record Input(ByteBuf bytes, int chargedBytes, long earliestArrivalUs) {}
 
     private final BufferBudget budget;
     private final int maxBytes;
@@ -29,7 +39,12 @@
     private ChannelHandlerContext context;
     private long bufferedBytes;
     private boolean inputWanted = true;
+    private boolean receivingBody;
     private boolean forwarding;
+
+    /** Whether other connections come first before more of the buffered input is forwarded. */
+    private boolean yielding;
+
     private long forwardedArrivalUs;
     private boolean requestReceived;
 
@@ -77,6 +92,11 @@
         }
     }
 
+    /** Sets whether the input belongs to the body of a request. */
+    void setReceivingBody(boolean value) {
+        receivingBody = value;
+    }
+
     /** Called when the forwarded input has completed a request. */
     void onRequestReceived() {
         requestReceived = true;
@@ -97,8 +117,7 @@
         ByteBuf buffer = (ByteBuf) message;
         boolean drained = buffer.isWritable();
         requestReceived = false;
-        buffered.add(new Input(buffer, arrival.onRead(loopTime.get())));
-        addBufferedBytes(buffer.readableBytes());
+        addInput(buffer);
         forward();
         if (drained && requestReceived && buffered.isEmpty()) {
             arrival.onRequestsRead();
@@ -106,6 +125,12 @@
         updateReading();
     }
 
+    private void addInput(ByteBuf bytes) {
+        Input input = new Input(bytes, bytes.capacity(), arrival.onRead(loopTime.get()));
+        buffered.add(input);
+        addBufferedBytes(input.chargedBytes());
+    }
+
     /**
      * Forwards buffered input as long as input is wanted. Forwarding may itself change whether
      * input is wanted and so call this method again; such nested calls return at once, so that the
@@ -117,17 +142,46 @@
         }
         forwarding = true;
         try {
-            while (inputWanted && !buffered.isEmpty()) {
-                Input next = buffered.poll();
-                addBufferedBytes(-next.bytes().readableBytes());
-                forwardedArrivalUs = next.earliestArrivalUs();
-                context.fireChannelRead(next.bytes());
+            while (inputWanted && !yielding && !buffered.isEmpty()) {
+                forwardPart();
             }
         } finally {
             forwarding = false;
         }
     }
 
+    private void forwardPart() {
+        Input next = buffered.peek();
+        ByteBuf bytes = next.bytes();
+        forwardedArrivalUs = next.earliestArrivalUs();
+        requestReceived = false;
+        if (receivingBody || bytes.readableBytes() <= MAX_HEAD_PART_BYTES) {
+            buffered.poll();
+            addBufferedBytes(-next.chargedBytes());
+            context.fireChannelRead(bytes);
+        } else {
+            context.fireChannelRead(bytes.readRetainedSlice(MAX_HEAD_PART_BYTES));
+        }
+        if (requestReceived && !buffered.isEmpty()) {
+            yieldToOthers();
+        }
+    }
+
+    /** Forwards the rest only after the event loop has polled all connections again. */
+    private void yieldToOthers() {
+        yielding = true;
+        context.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            yielding = false;
+                            forward();
+                            updateReading();
+                        },
+                        0,
+                        TimeUnit.MICROSECONDS);
+    }
+
     private void addBufferedBytes(int difference) {
         bufferedBytes += difference;
         budget.add(difference);
@@ -135,7 +189,8 @@
 
     private void updateReading() {
         if (context.channel().isActive()) {
-            boolean reading = inputWanted || bufferedBytes < maxBytes && !budget.exceeded();
+            boolean wanted = inputWanted && !yielding;
+            boolean reading = wanted || bufferedBytes < maxBytes && !budget.exceeded();
             arrival.setReading(reading, loopTime.get());
             context.channel().config().setAutoRead(reading);
         }
@@ -143,9 +198,9 @@
 
     private void drop() {
         while (!buffered.isEmpty()) {
-            ByteBuf next = buffered.poll().bytes();
-            addBufferedBytes(-next.readableBytes());
-            next.release();
+            Input dropped = buffered.poll();
+            addBufferedBytes(-dropped.chargedBytes());
+            dropped.bytes().release();
         }
     }
 }
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -3,8 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.EventLoop;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -34,8 +34,9 @@
      * Limits the size of a read, as all bytes that were read are buffered until they have been
      * written.
      */
-    public static final RecvByteBufAllocator READ_SIZES =
-            new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES);
+    public static DefaultMaxMessagesRecvByteBufAllocator readSizes() {
+        return new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES);
+    }
 
     /**
      * A peer may take seconds to read or write; a transfer without any progress for this long
