Begin an attempt only if its client is known to be there right before the first byte

Cause: a client's close is an event that the loop handles some time: behind the bytes that it has not read (it stops at 64 kB), and, after a stall, behind the request that came before the close. Until then nobody asked. Class: knowledge taken as current although its age is unknown.

Change: just before the first byte of an attempt, the client's socket is read until it is empty. If it has ended, the client has gone and nothing begins. If more waits than may be buffered (64 kB, up to 1 MB while the budget lasts and the last sight of the client is over 50 ms old), the request is refused, or failed if it may have run, and the log says so with its id.

--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Returns whether the whole request was written to a backend that may have run it. */
+    boolean writtenAndMayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
     boolean mayHaveRun() {
         return attempts.stream()
                 .anyMatch(attempt -> attempt.outcome == null || !attempt.outcome.provesNotRun);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -26,6 +26,7 @@
 import passhatch.proxy.base.Clock;
 import passhatch.proxy.base.EventLog;
 import passhatch.proxy.base.StallDetector;
+import passhatch.proxy.client.ClientPresence;
 import passhatch.proxy.client.ProxyRequest;
 import passhatch.proxy.client.ProxyResponse;
 import passhatch.proxy.client.RequestHandler;
@@ -547,7 +548,8 @@
                                 () ->
                                         !exchange.responseChosen
                                                 && isUpAt(backend, server)
-                                                && mayStillRepeat(exchange),
+                                                && mayStillRepeat(exchange)
+                                                && clientIsPresent(exchange),
                                 attemptTimeoutUs,
                                 Outcome.TIMEOUT),
                         new BackendPool.Listener() {
@@ -605,6 +607,36 @@
                                                 < requestClass.dedupWindowUs() - MAX_TRANSIT_US);
     }
 
+    /**
+     * Returns whether an attempt may begin because its client still waits. If the client has left,
+     * or may have left unseen behind what it sent, the request ends here.
+     */
+    private boolean clientIsPresent(Exchange exchange) {
+        ClientPresence presence = exchange.responder.clientPresence();
+        if (presence == ClientPresence.GONE) {
+            log.trace("gone-before-attempt", exchange.request.id(), "");
+            clientGone(exchange.request.id());
+        } else if (presence == ClientPresence.UNKNOWN) {
+            log.write(
+                    "request "
+                            + exchange.request.id()
+                            + " not sent on: its client may have left behind unread input");
+            exchange.responder.closeIfBodyIsMissing();
+            refuseOrFail(exchange);
+        }
+        return presence == ClientPresence.PRESENT;
+    }
+
+    /** Ends a request that cannot be sent on: refuses it if it cannot have run. */
+    private void refuseOrFail(Exchange exchange) {
+        respondUnasked(
+                exchange,
+                exchange.writtenAndMayHaveRun()
+                        ? ProxyResponse.failed()
+                        : ProxyResponse.refused(
+                                Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs)));
+    }
+
     private HttpRequest buildRequest(Exchange exchange, long deadlineUs) {
         if (exchange.request.body().isLong()) {
             events.add(exchange, () -> balancer.bodySpent(clock.nowUs(), exchange.request.id()));
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -190,6 +190,11 @@
             return arrival.unforwardedWaitUs();
         }
 
+        @Override
+        public ClientPresence clientPresence() {
+            return connection.readAhead.clientPresence();
+        }
+
         @Override
         public void stream(ResponseStream newStream, Relay.Listener listener) {
             stream = newStream;
--- a/src/main/java/passhatch/proxy/client/InputArrival.java
+++ b/src/main/java/passhatch/proxy/client/InputArrival.java
@@ -52,6 +52,12 @@
         waitingSinceUs = NOT_WAITING;
     }
 
+    /** Records that a read outside the polls of the event loop has found no more input. */
+    void onDrained(LoopTime time) {
+        waitingSinceUs = time.nowUs();
+        lastActivePoll = time.poll();
+    }
+
     /** Returns the earliest time at which input that has not been read may have arrived. */
     long earliestUs(LoopTime time) {
         // What the last poll found may not have been read yet, but all polls before it count.
--- a/src/main/java/passhatch/proxy/client/ListeningChannel.java
+++ b/src/main/java/passhatch/proxy/client/ListeningChannel.java
@@ -1,6 +1,8 @@
 package passhatch.proxy.client;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.internal.SocketUtils;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -11,6 +13,16 @@
  */
 public final class ListeningChannel extends NioServerSocketChannel {
 
+    @Override
+    protected int doReadMessages(List<Object> accepted) throws Exception {
+        SocketChannel socket = SocketUtils.accept(javaChannel());
+        if (socket == null) {
+            return 0;
+        }
+        accepted.add(new ClientChannel(this, socket));
+        return 1;
+    }
+
     @Override
     protected void doClose() throws Exception {
         try {
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -24,6 +25,21 @@
     /** Maximum number of bytes that are forwarded at a time while no body is being received. */
     private static final int MAX_HEAD_PART_BYTES = 128;
 
+    /** Number of bytes of a read that {@link #clientPresence} makes. */
+    private static final int PRESENCE_READ_BYTES = 1 << 14;
+
+    /**
+     * Maximum number of bytes that are buffered to find out whether the client has left; only while
+     * the budget is not exceeded.
+     */
+    private static final int MAX_PRESENCE_BYTES = 1 << 20;
+
+    /**
+     * A client counts as present if it had not left this long ago, in microseconds. An attempt may
+     * begin up to 0.1 s after its client has left; the other half is for the way to the backend.
+     */
+    private static final long MAX_PRESENCE_AGE_US = 50_000;
+
     /**
      * Bytes that were read, with the earliest time in microseconds at which they may have arrived.
      *
@@ -45,6 +61,9 @@
     /** Whether other connections come first before more of the buffered input is forwarded. */
     private boolean yielding;
 
+    /** Whether the client has closed its side, possibly behind input that is still buffered. */
+    private boolean inputEnded;
+
     private long forwardedArrivalUs;
     private boolean requestReceived;
 
@@ -190,12 +209,71 @@
     private void updateReading() {
         if (context.channel().isActive()) {
             boolean wanted = inputWanted && !yielding;
-            boolean reading = wanted || bufferedBytes < maxBytes && !budget.exceeded();
+            boolean reading =
+                    inputEnded || wanted || bufferedBytes < maxBytes && !budget.exceeded();
             arrival.setReading(reading, loopTime.get());
             context.channel().config().setAutoRead(reading);
         }
     }
 
+    // ---- presence of the client
+
+    /**
+     * Reads what the socket holds, as far as that may be buffered, and returns whether the client
+     * is still there. What was read is forwarded later, in its order.
+     */
+    ClientPresence clientPresence() {
+        if (!context.channel().isActive()) {
+            return ClientPresence.GONE;
+        }
+        boolean drained = readUntilDrained();
+        updateReading();
+        if (inputEnded) {
+            return ClientPresence.GONE;
+        }
+        return drained || presenceAgeUs() <= MAX_PRESENCE_AGE_US
+                ? ClientPresence.PRESENT
+                : ClientPresence.UNKNOWN;
+    }
+
+    /** Returns how long ago the client is known to have been there. */
+    private long presenceAgeUs() {
+        LoopTime time = loopTime.get();
+        return time.nowUs() - arrival.earliestUs(time);
+    }
+
+    /** Returns whether nothing is left in the socket. */
+    private boolean readUntilDrained() {
+        while (!inputEnded && mayReadForPresence()) {
+            ByteBuf bytes = context.alloc().ioBuffer(PRESENCE_READ_BYTES, PRESENCE_READ_BYTES);
+            int count = readNow(bytes);
+            if (count > 0) {
+                addInput(bytes);
+            } else {
+                bytes.release();
+                inputEnded = count < 0;
+                arrival.onDrained(loopTime.get());
+                return true;
+            }
+        }
+        return inputEnded;
+    }
+
+    private boolean mayReadForPresence() {
+        return bufferedBytes < maxBytes
+                || bufferedBytes < MAX_PRESENCE_BYTES
+                        && !budget.exceeded()
+                        && presenceAgeUs() > MAX_PRESENCE_AGE_US;
+    }
+
+    private int readNow(ByteBuf into) {
+        try {
+            return ((ClientChannel) context.channel()).readNow(into);
+        } catch (IOException broken) {
+            return -1;
+        }
+    }
+
     private void drop() {
         while (!buffered.isEmpty()) {
             Input dropped = buffered.poll();
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -23,6 +23,12 @@
          */
         long unreadUs();
 
+        /**
+         * Returns whether the client still waits for the response. Reads what the client has sent,
+         * as its close can be seen only behind that.
+         */
+        ClientPresence clientPresence();
+
         /**
          * Streams a response to the client. The listener is called once, when the whole response
          * has been written or when the transfer has failed.
