Remember the ids of requests that must not run twice after their client has left

Cause: an id was known only while its request was open in this process. A client that leaves ends it within a moment, though its server may still run it. Class: memory of an effect that ends with the connection, not with the effect.

Change: before its first byte, an attempt claims the id of an unsafe request (or of a keyed one whose key holds only in a zone or cell). A known id gets 409; without a free place a request is refused.

--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -28,6 +28,9 @@
 
     boolean uploading;
 
+    /** Whether an attempt has claimed the id of this request, which must not run twice. */
+    boolean idClaimed;
+
     /** Whether the final response has been chosen. */
     boolean responseChosen;
 
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -79,6 +79,7 @@
     private final BackendPool pool;
     private final ProxyMetrics metrics;
     private final StallDetector stallDetector;
+    private final RunOnceGuard runOnceGuard;
     private final DiscoveryClient discovery;
     private final Balancer balancer;
     private final BalancerEvents events;
@@ -108,6 +109,7 @@
             ProxyConfig config,
             BackendPool pool,
             StallDetector stallDetector,
+            ClaimedIds claimedIds,
             ProxyServer.BalancerFactory balancerFactory) {
         this.metrics = new ProxyMetrics(config.classNames());
         this.loop = loop;
@@ -117,6 +119,7 @@
         this.stallDetector = stallDetector;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.classes = config.settings().classes();
+        this.runOnceGuard = new RunOnceGuard(classes, claimedIds);
         this.maxRetryAfterUs = config.settings().limits().maxRetryAfterUs();
         this.discovery =
                 new DiscoveryClient(
@@ -253,10 +256,13 @@
     }
 
     @Override
-    public boolean accept(ProxyRequest request, long unreadUs, Responder responder) {
+    public Acceptance accept(ProxyRequest request, long unreadUs, Responder responder) {
+        if (runOnceGuard.mayHaveRun(request)) {
+            return Acceptance.MAY_HAVE_RUN;
+        }
         Exchange exchange = new Exchange(request, responder);
         if (exchanges.putIfAbsent(request.id(), exchange) != null) {
-            return false;
+            return Acceptance.ID_IN_USE;
         }
         unansweredCount++;
         log.trace("taken", request.id(), request.timeoutUs());
@@ -287,7 +293,7 @@
                                     request.clientRetry(),
                                     uploadBudgetUs > 0));
                 });
-        return true;
+        return Acceptance.ACCEPTED;
     }
 
     @Override
@@ -549,7 +555,8 @@
                                         !exchange.responseChosen
                                                 && isUpAt(backend, server)
                                                 && mayStillRepeat(exchange)
-                                                && clientIsPresent(exchange),
+                                                && clientIsPresent(exchange)
+                                                && claimId(exchange),
                                 attemptTimeoutUs,
                                 Outcome.TIMEOUT),
                         new BackendPool.Listener() {
@@ -637,6 +644,22 @@
                                 Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs)));
     }
 
+    /**
+     * Returns whether an attempt may begin because the request cannot have run under the same id
+     * before. Otherwise the request ends here.
+     */
+    private boolean claimId(Exchange exchange) {
+        ClaimedIds.Claim claim = runOnceGuard.claim(exchange);
+        if (claim == ClaimedIds.Claim.CLAIMED_BEFORE) {
+            log.write("request " + exchange.request.id() + " not sent on: it may have run before");
+            respondUnasked(exchange, ProxyResponse.failed());
+        } else if (claim == ClaimedIds.Claim.FULL) {
+            log.write("request " + exchange.request.id() + " not sent on: too many ids are in use");
+            refuseOrFail(exchange);
+        }
+        return claim == ClaimedIds.Claim.CLAIMED;
+    }
+
     private HttpRequest buildRequest(Exchange exchange, long deadlineUs) {
         if (exchange.request.body().isLong()) {
             events.add(exchange, () -> balancer.bodySpent(clock.nowUs(), exchange.request.id()));
@@ -776,8 +799,9 @@
      */
     private void removeIfCompleted(Exchange exchange) {
         if (exchange.completed
-                && exchange.attempts.stream().allMatch(attempt -> attempt.outcome != null)) {
-            exchanges.remove(exchange.request.id(), exchange);
+                && exchange.attempts.stream().allMatch(attempt -> attempt.outcome != null)
+                && exchanges.remove(exchange.request.id(), exchange)) {
+            runOnceGuard.onCompleted(exchange);
         }
     }
 }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -71,6 +71,8 @@
      */
     private static final long ADMISSION_HEAP_DIVISOR = 3;
 
+    private static final String CLAIMED_IDS_FILE = "passhatch.ids";
+
     /** Exit status of a process whose event loop has died. */
     private static final int LOOP_DIED_EXIT_STATUS = 70;
 
@@ -234,7 +236,14 @@
         scheduleTick(clock, stallDetector);
         proxyLoop =
                 new ProxyLoop(
-                        loop, clock, log, config, backendPool, stallDetector, balancerFactory);
+                        loop,
+                        clock,
+                        log,
+                        config,
+                        backendPool,
+                        stallDetector,
+                        openClaimedIds(config),
+                        balancerFactory);
         frontend =
                 new HttpFrontend(
                         loop,
@@ -268,6 +277,19 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the table of claimed ids, which the processes of this proxy share if they can. */
+    private ClaimedIds openClaimedIds(ProxyConfig config) {
+        if (handover == null) {
+            return ClaimedIds.ofThisProcess();
+        }
+        try {
+            return ClaimedIds.shared(config.folder().resolve(CLAIMED_IDS_FILE));
+        } catch (IOException failure) {
+            log.write("the ids of requests are not shared with other processes: " + failure);
+            return ClaimedIds.ofThisProcess();
+        }
+    }
+
     private static long maxAdmittedBytes(ProxyConfig config) {
         long heapBytes =
                 Math.min(
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -420,10 +420,7 @@
         }
         long unreadUs = pending.arrival.forwardedWaitUs();
         if (!pending.accepted && (last || body.isLong())) {
-            if (!frontend.requests().accept(pending.request, unreadUs, pending)) {
-                throw new RequestParser.BadRequestException(
-                        HttpResponseStatus.BAD_REQUEST, "X-Request-Id is already in use");
-            }
+            requireAccepted(frontend.requests().accept(pending.request, unreadUs, pending));
             pending.accepted = true;
             frontend.log().trace("on", pending.request.id(), channel.id());
             frontend.markBusy(this);
@@ -432,6 +429,20 @@
         }
     }
 
+    private static void requireAccepted(RequestHandler.Acceptance acceptance)
+            throws RequestParser.BadRequestException {
+        switch (acceptance) {
+            case ACCEPTED -> {}
+            case ID_IN_USE ->
+                    throw new RequestParser.BadRequestException(
+                            HttpResponseStatus.BAD_REQUEST, "X-Request-Id is already in use");
+            case MAY_HAVE_RUN ->
+                    throw new RequestParser.BadRequestException(
+                            HttpResponseStatus.CONFLICT,
+                            "a request with this X-Request-Id may have run");
+        }
+    }
+
     /** Called when a request has been received completely. */
     private void onRequestReceived() {
         incoming = null;
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -46,13 +46,24 @@
     /** Returns whether clients should send requests to this proxy. */
     boolean ready();
 
+    /** Whether a request is accepted, and if it is not, why. */
+    enum Acceptance {
+        ACCEPTED,
+
+        /** A request with the same id is still being processed. */
+        ID_IN_USE,
+
+        /** A request with the same id may have run before, and must not run twice. */
+        MAY_HAVE_RUN
+    }
+
     /**
-     * Accepts a request whose body is complete or is too long to be buffered. Returns false if a
-     * request with the same id is still being processed.
+     * Accepts a request whose body is complete or is too long to be buffered, unless its id has
+     * been used before.
      *
      * @param unreadUs how long the request's last bytes may have waited unread, in microseconds
      */
-    boolean accept(ProxyRequest request, long unreadUs, Responder responder);
+    Acceptance accept(ProxyRequest request, long unreadUs, Responder responder);
 
     /**
      * Called instead of {@link #accept} if there is no memory for a request's body. Returns the
