--- a/src/main/java/passhatch/lab/Main.java
+++ b/src/main/java/passhatch/lab/Main.java
@@ -7,6 +7,7 @@
 import passhatch.lab.duty.DutyCommand;
 import passhatch.lab.fleet.FleetCommand;
 import passhatch.lab.scale.ScaleCommand;
+import passhatch.lab.soak.SoakCommand;
 import picocli.CommandLine;
 
 /** Entry point of the lab tools, which offers the program's own commands and those of the lab. */
@@ -28,6 +29,7 @@
                         .addSubcommand(DutyCommand.createCommandLine())
                         .addSubcommand(new DistributionCommand())
                         .addSubcommand(new WatchCommand())
+                        .addSubcommand(new SoakCommand())
                         .addSubcommand(ScaleCommand.commandLine())
                         .addSubcommand(new StoreBench()));
     }
--- a/src/main/java/passhatch/lab/drill/ChildProcess.java
+++ b/src/main/java/passhatch/lab/drill/ChildProcess.java
@@ -121,10 +121,15 @@
 
     /** Returns the last {@link #LOG_TAIL_LINES} lines of the log. */
     public String logTail() {
+        List<String> lines = log().lines().toList();
+        return String.join(
+                "\n", lines.subList(Math.max(0, lines.size() - LOG_TAIL_LINES), lines.size()));
+    }
+
+    /** Returns the whole log, of all starts of the process. */
+    public String log() {
         try {
-            List<String> lines = Files.readAllLines(logFile, StandardCharsets.ISO_8859_1);
-            return String.join(
-                    "\n", lines.subList(Math.max(0, lines.size() - LOG_TAIL_LINES), lines.size()));
+            return Files.readString(logFile, StandardCharsets.ISO_8859_1);
         } catch (IOException unreadable) {
             return "(no log: " + unreadable + ")";
         }
--- a/src/main/java/passhatch/lab/soak/Bystanders.java
+++ b/src/main/java/passhatch/lab/soak/Bystanders.java
@@ -68,6 +68,7 @@
         if (kept == null || !sendOn(kept, request)) {
             request.connectionLost = false;
             request.sentNs = 0;
+            request.resentNs = kept == null ? 0 : System.nanoTime();
             try {
                 sendOn(new ProxyClient(testbed.address()), request);
             } catch (IOException refused) {
--- a/src/main/java/passhatch/lab/soak/ClientRequest.java
+++ b/src/main/java/passhatch/lab/soak/ClientRequest.java
@@ -24,6 +24,15 @@
     /** Whether the response has the body that a backend gives to this request. */
     volatile boolean bodyIntact;
 
+    /**
+     * When the request was sent once more because its connection was closed without a response; 0
+     * if it was not.
+     */
+    volatile long resentNs;
+
+    /** Whether a long response is expected, which has no time limit once it has begun. */
+    volatile boolean streamed;
+
     /** Whether the connection ended before the whole response had been read. */
     volatile boolean connectionLost;
 
--- a/src/main/java/passhatch/lab/soak/Crowd.java
+++ b/src/main/java/passhatch/lab/soak/Crowd.java
@@ -15,6 +15,7 @@
     private static final int HEAD_PIECE_BYTES = 600;
     private static final int READ_INTERVAL_MS = 100;
     private static final int MS_PER_SECOND = 1_000;
+    private static final int STACK_BYTES = 1 << 17;
     private static final int SMALL_BUFFER_BYTES = 1 << 12;
 
     private final ProxyTestbed testbed;
@@ -70,7 +71,11 @@
 
     /** Sends requests of which each client announces more than it sends. */
     void sendHalfRequests(int announcedBytes, UniformRandomProvider random) {
-        forEachClient(
+        int[] sentBytes =
+                clients.stream()
+                        .mapToInt(client -> 1 + random.nextInt(announcedBytes - 1))
+                        .toArray();
+        forEachClientAtOnce(
                 (client, i) ->
                         client.write(
                                 RequestKind.NOTICE.head(
@@ -78,7 +83,21 @@
                                         + "Content-Length: "
                                         + announcedBytes
                                         + "\r\n\r\n"
-                                        + "x".repeat(1 + random.nextInt(announcedBytes - 1))));
+                                        + "x".repeat(sentBytes[i])));
+    }
+
+    /** Sends one request each whose body consists of chunks of one byte. */
+    void sendTinyChunks(int chunks, String query) {
+        String body = "1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n";
+        forEachClientAtOnce(
+                (client, i) ->
+                        client.write(
+                                RequestKind.NOTICE.head(
+                                                name + "-" + i,
+                                                query,
+                                                RequestKind.NOTICE.deadlineMs)
+                                        + "Transfer-Encoding: chunked\r\n\r\n"
+                                        + body));
     }
 
     /** Sends one request each for a long response, and reads the responses slowly until a time. */
@@ -183,6 +202,30 @@
         }
     }
 
+    /**
+     * Runs a step for each client on a thread of its own, as writes block while the proxy does not
+     * read. Does not wait for the end of the steps, which closing the crowd brings about.
+     */
+    private void forEachClientAtOnce(Step step) {
+        for (int i = 0; i < clients.size(); i++) {
+            int index = i;
+            Thread thread =
+                    new Thread(
+                            null,
+                            () -> {
+                                try {
+                                    step.run(clients.get(index), index);
+                                } catch (IOException closed) {
+                                    // The proxy has closed the connection, which it may.
+                                }
+                            },
+                            "crowd",
+                            STACK_BYTES);
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
     private static void closeQuietly(ProxyClient client) {
         try {
             client.close();
--- a/src/test/java/passhatch/lab/soak/BadClientsIT.java
+++ b/src/test/java/passhatch/lab/soak/BadClientsIT.java
@@ -39,6 +39,23 @@
         }
     }
 
+    /** Guards against unfinished lines of heads that use up memory with all descriptors in use. */
+    @ParameterizedTest
+    @ValueSource(ints = {72, 144, 192})
+    void longLinesOfHeadsDoNotEndTheProxy(int memoryMb) throws Exception {
+        startProxy(memoryMb);
+        try (Crowd crowd = new Crowd(testbed, "line").connect(900);
+                Bystanders bystanders =
+                        new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            crowd.sendHeads("x".repeat(7_800), false);
+            Thread.sleep(1_000);
+            List<ClientRequest> requests = bystanders.stop();
+            assertAlive();
+            assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+            assertAllServed(requests);
+        }
+    }
+
     /** Guards against half-sent requests that take the backends from the requests of others. */
     @ParameterizedTest
     @ValueSource(ints = {72, 144, 192})
@@ -57,6 +74,24 @@
         }
     }
 
+    /** Guards against chunks of one byte that use up the heap while a backend reads them slowly. */
+    @ParameterizedTest
+    @ValueSource(ints = {72, 144, 192})
+    void tinyChunksForASlowBackendCostOthersNothing(int memoryMb) throws Exception {
+        startProxy(memoryMb);
+        try (Bystanders bystanders = new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            Thread.sleep(500);
+            try (Crowd crowd = new Crowd(testbed, "chunks").connect(300)) {
+                crowd.sendTinyChunks(150_000, "readrate=20000");
+                Thread.sleep(5_000);
+                List<ClientRequest> requests = bystanders.stop();
+                assertAlive();
+                assertTrue(testbed.peakMemoryMb() <= memoryMb, () -> "memory: " + peak());
+                assertAllServed(requests);
+            }
+        }
+    }
+
     /** Guards against long responses that are read slowly at the cost of others. */
     @ParameterizedTest
     @ValueSource(ints = {72, 144, 192})
