End the request of the client that left, not a later one with the same id

Cause: a connection that closes reported only the id of its request. If that request had ended before the close was seen, the id could belong by then to the request of the new connection, which was ended without an answer. Class: an identity that may be used again, kept longer than what it names.

Change: the report of a close, and of the end of a body, names the responder with which the request was accepted, and has no effect on another request.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -304,8 +304,8 @@
     }
 
     @Override
-    public void bodyCompleted(String id, long unreadUs) {
-        Exchange exchange = exchanges.get(id);
+    public void bodyCompleted(String id, long unreadUs, Responder responder) {
+        Exchange exchange = exchangeOf(id, responder);
         if (exchange == null || !exchange.uploading) {
             return;
         }
@@ -369,9 +369,18 @@
                 ProxyResponse.refused(Math.min(OVERLOAD_RETRY_AFTER_US, maxRetryAfterUs)));
     }
 
-    @Override
-    public void clientGone(String id) {
+    /**
+     * Returns the request with an id if it was accepted with the given responder. The id may belong
+     * to a later request by now: a client that has left may have sent it again.
+     */
+    private Exchange exchangeOf(String id, Responder responder) {
         Exchange exchange = exchanges.get(id);
+        return exchange != null && exchange.responder == responder ? exchange : null;
+    }
+
+    @Override
+    public void clientGone(String id, Responder responder) {
+        Exchange exchange = exchangeOf(id, responder);
         if (exchange == null || exchange.completed) {
             return;
         }
@@ -453,7 +462,7 @@
                                         + " from "
                                         + attempt.server
                                         + " cut off: no progress, or the client has gone");
-                        clientGone(exchange.request.id());
+                        clientGone(exchange.request.id(), exchange.responder);
                         exchange.responder.streamFailed();
                     }
                 });
@@ -622,7 +631,7 @@
         ClientPresence presence = exchange.responder.clientPresence();
         if (presence == ClientPresence.GONE) {
             log.trace("gone-before-attempt", exchange.request.id(), "");
-            clientGone(exchange.request.id());
+            clientGone(exchange.request.id(), exchange.responder);
         } else if (presence == ClientPresence.UNKNOWN) {
             log.write(
                     "request "
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -241,7 +241,7 @@
             }
             cancelAdmissionTimer();
             if (accepted) {
-                connection.frontend.requests().clientGone(request.id());
+                connection.frontend.requests().clientGone(request.id(), this);
             } else if (request != null) {
                 request.body().drop();
             }
@@ -425,7 +425,7 @@
             frontend.log().trace("on", pending.request.id(), channel.id());
             frontend.markBusy(this);
         } else if (last) {
-            frontend.requests().bodyCompleted(pending.request.id(), unreadUs);
+            frontend.requests().bodyCompleted(pending.request.id(), unreadUs, pending);
         }
     }
 
--- a/src/main/java/passhatch/proxy/client/RequestHandler.java
+++ b/src/main/java/passhatch/proxy/client/RequestHandler.java
@@ -76,12 +76,15 @@
      * request's timeout runs from the arrival of its last byte.
      *
      * @param unreadUs how long the body's last bytes may have waited unread, in microseconds
+     * @param responder the one with which the request was accepted
      */
-    void bodyCompleted(String id, long unreadUs);
+    void bodyCompleted(String id, long unreadUs, Responder responder);
 
     /**
      * Called when the client has closed its connection or sent an invalid body, so that its request
-     * no longer needs a response.
+     * no longer needs a response. Another request may have the same id by then.
+     *
+     * @param responder the one with which the request was accepted
      */
-    void clientGone(String id);
+    void clientGone(String id, Responder responder);
 }
