Take a client's presence for known only once its socket was seen empty

Cause: a new connection counted as polled and found quiet, as the polls before it were counted too, though it may have waited 0.14 s to be accepted. And a socket that is empty right after a backlog was read says little: more may follow from the client's system, and its close behind that.

Change: InputArrival keeps when the socket was last seen empty, which is never for a new connection, and counts polls from the accept.

--- a/src/main/java/passhatch/proxy/client/InputArrival.java
+++ b/src/main/java/passhatch/proxy/client/InputArrival.java
@@ -21,6 +21,9 @@
      */
     record LoopTime(long nowUs, long unreadUs, long poll) {}
 
+    /** Value of {@link #emptyAtUs} as long as the socket was never seen empty. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private boolean reading = true;
 
     /** The last poll that found input, or after which reading was resumed. */
@@ -28,6 +31,14 @@
 
     private long waitingSinceUs = NOT_WAITING;
 
+    /** The latest time at which the connection is known to have been open without unread input. */
+    private long emptyAtUs = NEVER;
+
+    /** Records that the event loop polls the connection from now on. */
+    void onConnected(LoopTime time) {
+        lastActivePoll = time.poll();
+    }
+
     /** Sets whether the connection is read from now on. */
     void setReading(boolean on, LoopTime time) {
         if (reading == on) {
@@ -55,14 +66,26 @@
     /** Records that a read outside the polls of the event loop has found no more input. */
     void onDrained(LoopTime time) {
         waitingSinceUs = time.nowUs();
+        emptyAtUs = time.nowUs();
         lastActivePoll = time.poll();
     }
 
+    /**
+     * Returns how long ago the connection is known to have been open without unread input. A new
+     * connection may have waited to be accepted, and its client may have left meanwhile, so its age
+     * is very large until the connection has been seen empty.
+     */
+    long emptyAgeUs(LoopTime time) {
+        earliestUs(time);
+        return time.nowUs() - emptyAtUs;
+    }
+
     /** Returns the earliest time at which input that has not been read may have arrived. */
     long earliestUs(LoopTime time) {
         // What the last poll found may not have been read yet, but all polls before it count.
         if (reading && time.poll() > lastActivePoll + 1) {
             waitingSinceUs = NOT_WAITING;
+            emptyAtUs = time.nowUs() - time.unreadUs();
         }
         return Math.min(waitingSinceUs, time.nowUs() - time.unreadUs());
     }
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -124,6 +124,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        arrival.onConnected(loopTime.get());
     }
 
     @Override
@@ -231,39 +232,41 @@
         if (inputEnded) {
             return ClientPresence.GONE;
         }
-        return drained || presenceAgeUs() <= MAX_PRESENCE_AGE_US
+        return drained || arrival.emptyAgeUs(loopTime.get()) <= MAX_PRESENCE_AGE_US
                 ? ClientPresence.PRESENT
                 : ClientPresence.UNKNOWN;
     }
 
-    /** Returns how long ago the client is known to have been there. */
-    private long presenceAgeUs() {
-        LoopTime time = loopTime.get();
-        return time.nowUs() - arrival.earliestUs(time);
-    }
-
-    /** Returns whether nothing is left in the socket. */
+    /**
+     * Returns whether nothing is left in the socket, nor on its way there. After a backlog has been
+     * read, more of it may follow from the client's system, and the client's close behind that.
+     */
     private boolean readUntilDrained() {
+        int readBytes = 0;
         while (!inputEnded && mayReadForPresence()) {
             ByteBuf bytes = context.alloc().ioBuffer(PRESENCE_READ_BYTES, PRESENCE_READ_BYTES);
             int count = readNow(bytes);
             if (count > 0) {
+                readBytes += count;
                 addInput(bytes);
-            } else {
-                bytes.release();
-                inputEnded = count < 0;
+                continue;
+            }
+            bytes.release();
+            inputEnded = count < 0;
+            boolean backlog = readBytes >= PRESENCE_READ_BYTES;
+            if (!backlog) {
                 arrival.onDrained(loopTime.get());
-                return true;
             }
+            return !backlog;
         }
-        return inputEnded;
+        return false;
     }
 
     private boolean mayReadForPresence() {
         return bufferedBytes < maxBytes
                 || bufferedBytes < MAX_PRESENCE_BYTES
                         && !budget.exceeded()
-                        && presenceAgeUs() > MAX_PRESENCE_AGE_US;
+                        && arrival.emptyAgeUs(loopTime.get()) > MAX_PRESENCE_AGE_US;
     }
 
     private int readNow(ByteBuf into) {
