Pass bodies on in parts that bring few pieces, and collect small pieces

Cause: a read of 16 kB brings 2,700 chunks of one byte, each a message for the whole pipeline, so one turn of all connections took seconds. Each piece also became a buffer, a message and an entry of the target's queue. Class: work that is bounded in bytes while the client chooses how many steps a byte costs.

Change: ReadAhead sizes the parts of a body such that one brings about 16 pieces, and lets other connections come first after a part that brought more. Relay copies small pieces into blocks of 2 kB while earlier ones are being written.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -393,6 +393,7 @@
                         "the body is not HTTP: " + content.decoderResult().cause().getMessage());
             }
             readTimeout.onBodyBytes(content.content().readableBytes());
+            readAhead.onBodyPiece();
             if (pending.request != null) {
                 addToBody(pending, content, last);
             }
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -25,6 +25,15 @@
     /** Maximum number of bytes that are forwarded at a time while no body is being received. */
     private static final int MAX_HEAD_PART_BYTES = 128;
 
+    /** Maximum number of bytes of a body that are forwarded at a time. */
+    private static final int MAX_BODY_PART_BYTES = 1 << 14;
+
+    /**
+     * Number of pieces of a body that a part should bring at most. A client chooses how small the
+     * chunks of its body are, and each takes the event loop's time.
+     */
+    private static final int MAX_PIECES_PER_PART = 16;
+
     /** Number of bytes of a read that {@link #clientPresence} makes. */
     private static final int PRESENCE_READ_BYTES = 1 << 14;
 
@@ -58,6 +67,12 @@
     private boolean receivingBody;
     private boolean forwarding;
 
+    /** Number of bytes of the current body that are forwarded at a time. */
+    private int bodyPartBytes = MAX_BODY_PART_BYTES;
+
+    /** Number of pieces of a body that the last part has brought. */
+    private int receivedPieces;
+
     /** Whether other connections come first before more of the buffered input is forwarded. */
     private boolean yielding;
 
@@ -116,6 +131,11 @@
         receivingBody = value;
     }
 
+    /** Called when the forwarded input has brought a piece of a body. */
+    void onBodyPiece() {
+        receivedPieces++;
+    }
+
     /** Called when the forwarded input has completed a request. */
     void onRequestReceived() {
         requestReceived = true;
@@ -173,20 +193,35 @@
     private void forwardPart() {
         Input next = buffered.peek();
         ByteBuf bytes = next.bytes();
+        int partBytes = receivingBody ? bodyPartBytes : MAX_HEAD_PART_BYTES;
+        int forwardedBytes = Math.min(partBytes, bytes.readableBytes());
         forwardedArrivalUs = next.earliestArrivalUs();
         requestReceived = false;
-        if (receivingBody || bytes.readableBytes() <= MAX_HEAD_PART_BYTES) {
+        receivedPieces = 0;
+        if (forwardedBytes == bytes.readableBytes()) {
             buffered.poll();
             addBufferedBytes(-next.chargedBytes());
             context.fireChannelRead(bytes);
         } else {
-            context.fireChannelRead(bytes.readRetainedSlice(MAX_HEAD_PART_BYTES));
+            context.fireChannelRead(bytes.readRetainedSlice(forwardedBytes));
         }
-        if (requestReceived && !buffered.isEmpty()) {
+        boolean muchWork = requestReceived || receivedPieces >= MAX_PIECES_PER_PART;
+        adaptBodyPart(forwardedBytes);
+        if (muchWork && !buffered.isEmpty()) {
             yieldToOthers();
         }
     }
 
+    /** Chooses the size of the next part such that it brings few pieces. */
+    private void adaptBodyPart(int forwardedBytes) {
+        if (receivedPieces > MAX_PIECES_PER_PART) {
+            long fewerBytes = (long) forwardedBytes * MAX_PIECES_PER_PART / receivedPieces;
+            bodyPartBytes = (int) Math.max(MAX_HEAD_PART_BYTES, fewerBytes);
+        } else if (receivingBody) {
+            bodyPartBytes = Math.min(MAX_BODY_PART_BYTES, 2 * bodyPartBytes);
+        }
+    }
+
     /** Forwards the rest only after the event loop has polled all connections again. */
     private void yieldToOthers() {
         yielding = true;
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -1,6 +1,7 @@
 package passhatch.proxy.flow;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
@@ -30,9 +31,15 @@
     /** Maximum number of bytes of a single read or write of a connection. */
     static final int MAX_READ_BYTES = 1 << 14;
 
+    /** Size in bytes of the blocks in which small pieces are collected. */
+    private static final int BLOCK_BYTES = 1 << 11;
+
+    /** A piece of fewer bytes is copied into a block: each piece takes memory besides its bytes. */
+    private static final int SMALL_PIECE_BYTES = BLOCK_BYTES / 4;
+
     /**
-     * Limits the size of a read, as all bytes that were read are buffered until they have been
-     * written.
+     * Returns limits on the size of a read, as all bytes that were read are buffered until they
+     * have been written.
      */
     public static DefaultMaxMessagesRecvByteBufAllocator readSizes() {
         return new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES);
@@ -68,6 +75,9 @@
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private Source source;
 
+    /** The last of the waiting buffers if it is a block that has room for more; else null. */
+    private ByteBuf openBlock;
+
     /** The number of bytes that were forwarded and have not been written to the channel yet. */
     private long unwrittenBytes;
 
@@ -129,13 +139,29 @@
         progressSinceCheck = true;
         unwrittenBytes += bytes.readableBytes();
         budget.add(bytes.readableBytes());
-        waiting.add(bytes);
+        addWaiting(bytes);
         writeWaiting();
         if (!ended) {
             updateReading();
         }
     }
 
+    /** Adds bytes to those that wait; small pieces are collected while earlier ones are written. */
+    private void addWaiting(ByteBuf bytes) {
+        boolean collect = passedBytes > 0 && bytes.readableBytes() < SMALL_PIECE_BYTES;
+        if (!collect) {
+            openBlock = null;
+            waiting.add(bytes);
+            return;
+        }
+        if (openBlock == null || openBlock.writableBytes() < bytes.readableBytes()) {
+            openBlock = Unpooled.buffer(BLOCK_BYTES, BLOCK_BYTES);
+            waiting.add(openBlock);
+        }
+        openBlock.writeBytes(bytes);
+        bytes.release();
+    }
+
     /**
      * Passes waiting bytes to the channel, in parts that are no larger than a read: the channel
      * copies them, and its copies are held until they have been written.
@@ -143,6 +169,9 @@
     private void writeWaiting() {
         while (!ended && !waiting.isEmpty() && mayPassMore()) {
             ByteBuf first = waiting.peek();
+            if (first == openBlock) {
+                openBlock = null;
+            }
             int size = Math.min(MAX_READ_BYTES, first.readableBytes());
             ByteBuf part = first.readRetainedSlice(size);
             if (!first.isReadable()) {
@@ -156,7 +185,8 @@
     }
 
     private boolean mayPassMore() {
-        return passedBytes == 0 || target.isWritable() && !budget.exceeded();
+        boolean stillCollecting = waiting.peek() == openBlock;
+        return passedBytes == 0 || !stillCollecting && target.isWritable() && !budget.exceeded();
     }
 
     private void write(ByteBuf part, int size) {
@@ -198,6 +228,7 @@
         ended = true;
         source = null;
         progressCheck.cancel(false);
+        openBlock = null;
         while (!waiting.isEmpty()) {
             ByteBuf dropped = waiting.poll();
             unwrittenBytes -= dropped.readableBytes();
