Bound the memory of heads in part, and what a connection holds beside its budget

900 clients with an unfinished line of 7.8 kB used up the direct memory at 72 MB ('Cannot reserve 262144 bytes of direct buffer memory'): requests of others ended in errors. 300 half-sent requests took 73 to 75 MB of 72.

Cause: the bytes of a head in part were held by the decoder in buffers of up to twice their size and kept the read they came from, charged to nobody; and each connection may hold one read of 16 kB beyond the budget. Class: bytes held by many, bounded each, but not in sum.

Change: HeadBudget counts heads in part (a 72nd of the memory); while they are too many, a connection is refused with 431 once its head exceeds its own share, and others are left alone. The decoder copies parts of heads into buffers that grow with them. A client's read is 4 kB at most.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -59,6 +59,9 @@
      */
     private static final long BUFFER_MEMORY_DIVISOR = 36;
 
+    /** The configured memory divided by this is the limit for heads received in part. */
+    private static final long HEAD_MEMORY_DIVISOR = 72;
+
     /**
      * The limit on the heap is at most the configured memory divided by this, as {@code
      * deploy/serve.sh} sets it.
@@ -256,6 +259,7 @@
                         proxyLoop,
                         bufferBudget,
                         new BodyAdmission(bufferBudget, maxAdmittedBytes(config), loop),
+                        config.memoryBytes() / HEAD_MEMORY_DIVISOR,
                         descriptorLimits,
                         stallDetector,
                         pollCounter);
--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -219,7 +219,9 @@
                         .channelFactory(channelFactory)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
-                        .option(ChannelOption.RECVBUF_ALLOCATOR, Relay.readSizes())
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                Relay.readSizes(Relay.MAX_READ_BYTES))
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(
                                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -1,5 +1,6 @@
 package passhatch.proxy.client;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -72,6 +73,9 @@
     /** The number of responses that wait in this process until the client reads earlier ones. */
     private int unwrittenResponses;
 
+    /** Bytes of the head that is being received, while there is one. */
+    private int headBytes;
+
     private long idleSinceUs;
 
     /**
@@ -259,7 +263,33 @@
                 readTimeout.start();
             }
             frontend.onBytesReceived(ClientConnection.this);
+            setHeadBytes(incoming == null ? headBytes + ((ByteBuf) bytes).readableBytes() : 0);
             ctx.fireChannelRead(bytes);
+            rejectLargeHead();
+        }
+    }
+
+    private void setHeadBytes(int bytes) {
+        frontend.headBudget().add(bytes - headBytes);
+        headBytes = bytes;
+    }
+
+    /**
+     * Rejects a head that takes more than this connection's share of memory. Earlier requests on
+     * the connection get their responses first.
+     */
+    private void rejectLargeHead() {
+        if (closing || incoming != null || !pendingRequests.isEmpty()) {
+            return;
+        }
+        if (frontend.headBudget().exceededBy(headBytes, frontend.clientConnections())) {
+            PendingRequest head = new PendingRequest(this, HttpVersion.HTTP_1_1, false);
+            pendingRequests.add(head);
+            reject(
+                    head,
+                    new RequestParser.BadRequestException(
+                            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                            "heads take too much memory"));
         }
     }
 
@@ -308,6 +338,7 @@
         pendingRequests.add(pending);
         incoming = pending;
         requestStarted = true;
+        setHeadBytes(0);
         readTimeout.onHeadReceived();
         updateReading();
         try {
@@ -701,6 +732,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         readTimeout.cancel();
+        setHeadBytes(0);
         frontend.log().trace("closed", "-", channel.id());
         frontend.onDisconnected(this);
         abandonAll();
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -58,6 +58,12 @@
      */
     static final int MAX_READ_AHEAD_BYTES = RequestBody.MAX_REPLAYABLE_BYTES;
 
+    /**
+     * Maximum number of bytes of a read. All connections may have to hold one read each, besides
+     * what the budget allows.
+     */
+    private static final int MAX_READ_BYTES = 1 << 12;
+
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
@@ -65,6 +71,7 @@
     private final RequestHandler requests;
     private final BufferBudget budget;
     private final BodyAdmission bodyAdmission;
+    private final HeadBudget headBudget;
     private final DescriptorLimits descriptors;
     private final StallDetector stallDetector;
     private final PollCounter pollCounter;
@@ -98,6 +105,7 @@
      *
      * @param budget limits the bytes of client input, including request bodies, that are buffered
      * @param bodyAdmission admits request bodies to memory
+     * @param maxHeadBytes limit on the bytes of heads that have been received in part
      * @param descriptors counts the open connections, both those of clients and those to backends;
      *     if a new client connection exceeds the limit, one client connection is closed
      * @param stallDetector measures how long the event loop was stalled
@@ -111,6 +119,7 @@
             RequestHandler requests,
             BufferBudget budget,
             BodyAdmission bodyAdmission,
+            long maxHeadBytes,
             DescriptorLimits descriptors,
             StallDetector stallDetector,
             PollCounter pollCounter) {
@@ -121,6 +130,7 @@
         this.requests = requests;
         this.budget = budget;
         this.bodyAdmission = bodyAdmission;
+        this.headBudget = new HeadBudget(maxHeadBytes);
         this.descriptors = descriptors;
         this.stallDetector = stallDetector;
         this.pollCounter = pollCounter;
@@ -143,7 +153,7 @@
                         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Relay.WATER_MARK)
                         .childOption(
                                 ChannelOption.RECVBUF_ALLOCATOR,
-                                Relay.readSizes().maxMessagesPerRead(1))
+                                Relay.readSizes(MAX_READ_BYTES).maxMessagesPerRead(1))
                         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .childHandler(
                                 new ChannelInitializer<SocketChannel>() {
@@ -306,6 +316,14 @@
         return bodyAdmission;
     }
 
+    HeadBudget headBudget() {
+        return headBudget;
+    }
+
+    int clientConnections() {
+        return descriptors.clientConnections();
+    }
+
     void onConnected(ClientConnection connection) {
         descriptors.addClients(1);
         newConnections.add(connection);
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -23,7 +23,7 @@
 final class ReadAhead extends ChannelInboundHandlerAdapter {
 
     /** Maximum number of bytes that are forwarded at a time while no body is being received. */
-    private static final int MAX_HEAD_PART_BYTES = 128;
+    static final int MAX_HEAD_PART_BYTES = 128;
 
     /** Maximum number of bytes of a body that are forwarded at a time. */
     private static final int MAX_BODY_PART_BYTES = 1 << 14;
--- a/src/main/java/passhatch/proxy/client/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/client/RequestDecoder.java
@@ -1,5 +1,8 @@
 package passhatch.proxy.client;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
@@ -26,8 +29,33 @@
                     RequestParser.RETRY_HEADER,
                     RequestParser.IDEMPOTENCY_KEY_HEADER);
 
+    /** Size in bytes of the buffer for a head of which little has been received. */
+    private static final int MIN_HEAD_BUFFER_BYTES = 256;
+
     RequestDecoder() {
         super(CONFIG);
+        setCumulator(RequestDecoder::cumulate);
+    }
+
+    /**
+     * Copies a part of a head into a buffer that grows with the head. The buffer from which the
+     * part was read is far larger, and many clients may leave their heads unfinished.
+     */
+    private static ByteBuf cumulate(ByteBufAllocator allocator, ByteBuf undecoded, ByteBuf part) {
+        if (part.readableBytes() > ReadAhead.MAX_HEAD_PART_BYTES) {
+            return MERGE_CUMULATOR.cumulate(allocator, undecoded, part);
+        }
+        ByteBuf all = undecoded;
+        boolean shared = undecoded.isReadOnly() || undecoded.refCnt() > 1;
+        if (shared || !undecoded.isWritable(part.readableBytes())) {
+            int bytes = undecoded.readableBytes() + part.readableBytes();
+            all = Unpooled.buffer(Math.max(MIN_HEAD_BUFFER_BYTES, 2 * bytes));
+            all.writeBytes(undecoded);
+            undecoded.release();
+        }
+        all.writeBytes(part);
+        part.release();
+        return all;
     }
 
     @Override
--- a/src/main/java/passhatch/proxy/flow/Relay.java
+++ b/src/main/java/passhatch/proxy/flow/Relay.java
@@ -29,7 +29,7 @@
             new WriteBufferWaterMark(1 << 14, 1 << 16);
 
     /** Maximum number of bytes of a single read or write of a connection. */
-    static final int MAX_READ_BYTES = 1 << 14;
+    public static final int MAX_READ_BYTES = 1 << 14;
 
     /** Size in bytes of the blocks in which small pieces are collected. */
     private static final int BLOCK_BYTES = 1 << 11;
@@ -41,8 +41,8 @@
      * Returns limits on the size of a read, as all bytes that were read are buffered until they
      * have been written.
      */
-    public static DefaultMaxMessagesRecvByteBufAllocator readSizes() {
-        return new AdaptiveRecvByteBufAllocator(512, 2048, MAX_READ_BYTES);
+    public static DefaultMaxMessagesRecvByteBufAllocator readSizes(int maxBytes) {
+        return new AdaptiveRecvByteBufAllocator(512, 2048, maxBytes);
     }
 
     /**
