Test, known red: a log that nobody reads stops the event loop

Need: the report names other clients that were never answered while one client sent unsound requests; slow readers of the log were not played yet.

Change: a proxy under test may write its log to a pipe that is not read, and a test sends it 2,000 unsound requests beside others.

Measured by hand with deploy/serve.sh and a pipe that is not read: after 300 unsound requests no request to /ready was answered in 2 s any more.

--- a/src/main/java/passhatch/lab/drill/ChildProcess.java
+++ b/src/main/java/passhatch/lab/drill/ChildProcess.java
@@ -21,6 +21,7 @@
     private final Map<String, String> environment;
     private final Path logFile;
     private Process process;
+    private boolean logUnread;
 
     /**
      * Creates a process without starting it. Standard output and standard error of the process are
@@ -40,11 +41,18 @@
         }
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().putAll(environment);
-        builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
+        builder.redirectErrorStream(true);
+        if (!logUnread) {
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
+        }
         process = builder.start();
     }
 
+    /** Makes the process write its log to a pipe that nobody reads, from its next start on. */
+    public synchronized void leaveLogUnread() {
+        logUnread = true;
+    }
+
     /** Returns whether the process is running. */
     public synchronized boolean isAlive() {
         return process != null && process.isAlive();
--- a/src/main/java/passhatch/lab/soak/ProxyTestbed.java
+++ b/src/main/java/passhatch/lab/soak/ProxyTestbed.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import passhatch.lab.drill.ChildProcess;
 import passhatch.lab.drill.LocalNetwork;
 import passhatch.lab.drill.ProxyProcess;
@@ -39,6 +40,17 @@
     /** Starts the stand-ins and the proxy, and returns when the proxy is ready. */
     ProxyTestbed(Path jar, Path folder, Limits limits, long seed)
             throws IOException, InterruptedException {
+        this(jar, folder, limits, seed, process -> {});
+    }
+
+    /**
+     * Starts the stand-ins and the proxy, and returns when the proxy is ready.
+     *
+     * @param preparation what is done with the proxy's process before its start
+     */
+    ProxyTestbed(
+            Path jar, Path folder, Limits limits, long seed, Consumer<ChildProcess> preparation)
+            throws IOException, InterruptedException {
         discovery.start();
         List<DiscoveryServer.Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < BACKENDS; i++) {
@@ -52,6 +64,7 @@
                 ProxyProcess.SharedConfig.of(
                         jar, folder, scenario(limits, seed), discovery.address());
         proxy = new ProxyProcess(0, config, List.of(), LocalNetwork.reserveAddress());
+        preparation.accept(proxy.process());
         proxy.startWithPortRetry();
         if (!proxy.awaitReady(READY_TIMEOUT_MS)) {
             String log = proxy.process().logTail();
--- a/src/test/java/passhatch/lab/soak/BadClientsIT.java
+++ b/src/test/java/passhatch/lab/soak/BadClientsIT.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -144,6 +145,22 @@
         }
     }
 
+    /** Guards against a log that nobody reads and that stops the event loop. */
+    @Test
+    void unsoundRequestsCostOthersNothingWhileNobodyReadsTheLog() throws Exception {
+        startProxyWithUnreadLog(144);
+        try (Bystanders bystanders = new Bystanders(testbed, "bystander", BYSTANDERS_PER_SECOND)) {
+            for (int i = 0; i < 2_000; i++) {
+                try (ProxyClient client = new ProxyClient(testbed.address())) {
+                    client.write("GET /lookup HTTP/1.1\r\nX-Request-Id: a b\r\n\r\n");
+                } catch (IOException closed) {
+                    // The proxy has closed the connection, which it may.
+                }
+            }
+            assertAllServed(bystanders.stop());
+        }
+    }
+
     /** What one client sends over and over. */
     enum Flood {
         READINESS(n -> "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n"),
--- a/src/test/java/passhatch/lab/soak/ProxyProcessCase.java
+++ b/src/test/java/passhatch/lab/soak/ProxyProcessCase.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
+import passhatch.lab.drill.ChildProcess;
 
 /** Starts one real proxy process of the packaged program for a test. */
 abstract class ProxyProcessCase {
@@ -24,6 +25,16 @@
         testbed = new ProxyTestbed(JAR, folder, new ProxyTestbed.Limits(memoryMb, DESCRIPTORS), 1);
     }
 
+    void startProxyWithUnreadLog(int memoryMb) throws Exception {
+        testbed =
+                new ProxyTestbed(
+                        JAR,
+                        folder,
+                        new ProxyTestbed.Limits(memoryMb, DESCRIPTORS),
+                        1,
+                        ChildProcess::leaveLogUnread);
+    }
+
     @AfterEach
     void stopProxy() throws IOException {
         if (testbed != null) {
