Bound when a new connection was made by when the accept queue was last empty

The build's rehearsal was refused once in the unit tests: a request with a long body on a new connection got 503 although its client was there.

Change: the listener bounds, as connections do for their input, since when a connection may have waited; its client was there at that time.

--- a/src/main/java/passhatch/proxy/client/ClientChannel.java
+++ b/src/main/java/passhatch/proxy/client/ClientChannel.java
@@ -9,8 +9,24 @@
 /** A client's connection that can be read at once, before the event loop polls it again. */
 final class ClientChannel extends NioSocketChannel {
 
-    ClientChannel(Channel parent, SocketChannel socket) {
+    private final long connectedNotBeforeUs;
+
+    /**
+     * Creates a channel of an accepted connection.
+     *
+     * @param connectedNotBeforeUs the earliest time at which the client may have connected
+     */
+    ClientChannel(Channel parent, SocketChannel socket, long connectedNotBeforeUs) {
         super(parent, socket);
+        this.connectedNotBeforeUs = connectedNotBeforeUs;
+    }
+
+    /**
+     * Returns the earliest time in microseconds at which the client may have connected. It may have
+     * waited to be accepted since then.
+     */
+    long connectedNotBeforeUs() {
+        return connectedNotBeforeUs;
     }
 
     /**
--- a/src/main/java/passhatch/proxy/client/HttpFrontend.java
+++ b/src/main/java/passhatch/proxy/client/HttpFrontend.java
@@ -142,7 +142,7 @@
         ChannelFuture bound =
                 new ServerBootstrap()
                         .group(loop)
-                        .channelFactory(ListeningChannel::new)
+                        .channelFactory(() -> new ListeningChannel(this::loopTime))
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .handler(new AcceptRetry(log))
--- a/src/main/java/passhatch/proxy/client/InputArrival.java
+++ b/src/main/java/passhatch/proxy/client/InputArrival.java
@@ -21,9 +21,6 @@
      */
     record LoopTime(long nowUs, long unreadUs, long poll) {}
 
-    /** Value of {@link #emptyAtUs} as long as the socket was never seen empty. */
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
     private boolean reading = true;
 
     /** The last poll that found input, or after which reading was resumed. */
@@ -32,11 +29,16 @@
     private long waitingSinceUs = NOT_WAITING;
 
     /** The latest time at which the connection is known to have been open without unread input. */
-    private long emptyAtUs = NEVER;
+    private long emptyAtUs;
 
-    /** Records that the event loop polls the connection from now on. */
-    void onConnected(LoopTime time) {
+    /**
+     * Records that the event loop polls the connection from now on.
+     *
+     * @param connectedNotBeforeUs the earliest time at which the peer may have connected
+     */
+    void onConnected(LoopTime time, long connectedNotBeforeUs) {
         lastActivePoll = time.poll();
+        emptyAtUs = connectedNotBeforeUs;
     }
 
     /** Sets whether the connection is read from now on. */
@@ -71,9 +73,8 @@
     }
 
     /**
-     * Returns how long ago the connection is known to have been open without unread input. A new
-     * connection may have waited to be accepted, and its client may have left meanwhile, so its age
-     * is very large until the connection has been seen empty.
+     * Returns how long ago the connection is known to have been open without unread input, or not
+     * to have been established yet.
      */
     long emptyAgeUs(LoopTime time) {
         earliestUs(time);
--- a/src/main/java/passhatch/proxy/client/ListeningChannel.java
+++ b/src/main/java/passhatch/proxy/client/ListeningChannel.java
@@ -5,6 +5,8 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
+import passhatch.proxy.client.InputArrival.LoopTime;
 
 /**
  * A listening socket that accepts all connections in its queue before it closes. The operating
@@ -13,13 +15,33 @@
  */
 public final class ListeningChannel extends NioServerSocketChannel {
 
+    private final Supplier<LoopTime> loopTime;
+
+    /** Bounds the time since when connections may wait in the queue. */
+    private final InputArrival arrival = new InputArrival();
+
+    /** Creates a channel that does not tell how long its connections have waited in the queue. */
+    public ListeningChannel() {
+        this(() -> new LoopTime(0, 0, 0));
+    }
+
+    /**
+     * Creates a channel that is not bound yet.
+     *
+     * @param loopTime returns the present time on the event loop
+     */
+    ListeningChannel(Supplier<LoopTime> loopTime) {
+        this.loopTime = loopTime;
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         SocketChannel socket = SocketUtils.accept(javaChannel());
         if (socket == null) {
+            arrival.onDrained(loopTime.get());
             return 0;
         }
-        accepted.add(new ClientChannel(this, socket));
+        accepted.add(new ClientChannel(this, socket, arrival.onRead(loopTime.get())));
         return 1;
     }
 
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -144,7 +144,8 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
-        arrival.onConnected(loopTime.get());
+        long connectedNotBeforeUs = ((ClientChannel) ctx.channel()).connectedNotBeforeUs();
+        arrival.onConnected(loopTime.get(), connectedNotBeforeUs);
     }
 
     @Override
