Print the log on a thread of its own, and drop lines whose reader is too slow

Cause: each rejected request writes a line, and the event loop printed it itself. A pipe takes some 300 lines; then the loop waited for its reader. Class: a wait in the event loop for somebody else.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -144,7 +144,7 @@
         ProxyServer server;
         try {
             ProxyConfig config = ProxyConfig.read(env);
-            EventLog log = new EventLog(err);
+            EventLog log = EventLog.nonBlocking(err);
             NettyLog.redirectTo(log);
             server = create(config, log, Logic::new);
             new LoopGuard(
@@ -165,6 +165,7 @@
             return 2;
         }
         server.terminated.await();
+        server.log.flush();
         return 0;
     }
 
@@ -183,6 +184,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        log.flush();
         Runtime.getRuntime().halt(0);
     }
 
--- a/src/main/java/passhatch/proxy/base/LoopGuard.java
+++ b/src/main/java/passhatch/proxy/base/LoopGuard.java
@@ -39,6 +39,7 @@
         if (!endExpected.getAsBoolean()) {
             try {
                 log.write("the event loop has ended");
+                log.flush();
             } finally {
                 exit.run();
             }
@@ -48,6 +49,7 @@
     private void onUncaughtError(Thread thread, Throwable error) {
         try {
             log.bug("in thread " + thread.getName(), error);
+            log.flush();
         } finally {
             exit.run();
         }
