Take the pending request out of the client's connection, and log stopped bodies

Change: PendingRequest has a file of its own; behaviour as before. The close of a request whose body stopped is logged with its id and what had come.

--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -30,7 +30,6 @@
 import passhatch.proxy.base.LingeringClose;
 import passhatch.proxy.flow.Relay;
 import passhatch.proxy.flow.RequestBody;
-import passhatch.proxy.flow.ResponseStream;
 
 /** One client's connection. Responses are written in the order of the requests. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
@@ -101,7 +100,7 @@
         this.channel = channel;
         this.loop = loop;
         this.readAhead = frontend.newReadAhead();
-        this.readTimeout = frontend.newReadTimeout(channel::close);
+        this.readTimeout = frontend.newReadTimeout(this::onReadTimeout);
     }
 
     /**
@@ -142,114 +141,31 @@
         LingeringClose.begin(channel);
     }
 
-    /**
-     * A request on this connection, from the arrival of its head until its response has been
-     * written.
-     */
-    private static final class PendingRequest implements RequestHandler.Responder {
-        private final ClientConnection connection;
-        private final HttpVersion version;
-        boolean keepAlive;
-
-        /** The parsed request; null if the request is not forwarded to a backend. */
-        ProxyRequest request;
-
-        /** When the request arrived; null if the request is not forwarded to a backend. */
-        RequestArrival arrival;
-
-        boolean accepted;
-        boolean wantsContinue;
-
-        /** Refuses the request if its body is not admitted in time; null if it need not wait. */
-        Future<?> admissionTimer;
-
-        /** Whether the request was refused because its body was not admitted. */
-        boolean notAdmitted;
-
-        ProxyResponse response;
-        ResponseStream stream;
-        Relay.Listener streamListener;
-        boolean streaming;
-        boolean streamCompleted;
-
-        PendingRequest(ClientConnection connection, HttpVersion version, boolean keepAlive) {
-            this.connection = connection;
-            this.version = version;
-            this.keepAlive = keepAlive;
-        }
-
-        @Override
-        public void respond(ProxyResponse newResponse) {
-            response = newResponse;
-            connection.writeResponses();
-        }
-
-        @Override
-        public void closeIfBodyIsMissing() {
-            keepAlive &= !arrival.muchBodyMissing();
-        }
-
-        @Override
-        public long unreadUs() {
-            return arrival.unforwardedWaitUs();
-        }
-
-        @Override
-        public ClientPresence clientPresence() {
-            return connection.readAhead.clientPresence();
-        }
-
-        @Override
-        public void stream(ResponseStream newStream, Relay.Listener listener) {
-            stream = newStream;
-            streamListener = listener;
-            connection.writeResponses();
-        }
-
-        @Override
-        public void streamFailed() {
-            if (streaming) {
-                connection.abortStream(this);
-            } else {
-                stream = null;
-                respond(ProxyResponse.failed());
-            }
+    private void onReadTimeout() {
+        if (incoming != null && incoming.request != null) {
+            frontend.log()
+                    .write(
+                            "request "
+                                    + incoming.request.id()
+                                    + " closed: its body stopped after "
+                                    + incoming.request.body().size()
+                                    + " bytes");
         }
+        channel.close();
+    }
 
-        /**
-         * Returns whether the client can recognize the end of the response only by the close of the
-         * connection. This is so if the length is unknown and the client does not use HTTP/1.1.
-         */
-        boolean endsWithClose() {
-            return stream != null && stream.length() < 0 && !version.equals(HttpVersion.HTTP_1_1);
-        }
+    // ---- called by the pending requests
 
-        boolean hasResponse() {
-            return response != null || stream != null;
-        }
+    RequestHandler requests() {
+        return frontend.requests();
+    }
 
-        void cancelAdmissionTimer() {
-            if (admissionTimer != null) {
-                admissionTimer.cancel(false);
-                admissionTimer = null;
-            }
-        }
+    ClientPresence clientPresence() {
+        return readAhead.clientPresence();
+    }
 
-        /**
-         * Abandons the request: notifies the {@link RequestHandler} if it has accepted the request,
-         * and drops the request's body otherwise.
-         */
-        void abandon() {
-            if (request != null) {
-                connection.frontend.log().trace("abandoned", request.id(), connection.channel.id());
-            }
-            cancelAdmissionTimer();
-            if (accepted) {
-                connection.frontend.requests().clientGone(request.id(), this);
-            } else if (request != null) {
-                request.body().drop();
-            }
-        }
+    void traceAbandoned(String id) {
+        frontend.log().trace("abandoned", id, channel.id());
     }
 
     // ---- input
@@ -684,7 +600,7 @@
      * response is incomplete. If the client would take an orderly close for the end of the
      * response, the connection is reset instead.
      */
-    private void abortStream(PendingRequest pending) {
+    void abortStream(PendingRequest pending) {
         if (pending.endsWithClose()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
