--- a/src/main/java/passhatch/proxy/backend/BackendPool.java
+++ b/src/main/java/passhatch/proxy/backend/BackendPool.java
@@ -78,6 +78,13 @@
      */
     private static final long MAX_BUFFERING_MS = 200;
 
+    /**
+     * Time in microseconds after which a streamed response is aborted if nothing of it arrives
+     * although the proxy reads. The client then sees that the response is incomplete. Backends may
+     * hang for up to 25 s in the middle of a response.
+     */
+    private static final long RESPONSE_IDLE_TIMEOUT_US = 30_000_000;
+
     /**
      * For this time, in microseconds, after a backend has sent unsolicited data, the connections to
      * all backends are reused only after a delay.
@@ -683,6 +690,10 @@
         private final long declaredLength;
         private final BufferedBytes buffered;
         private final Future<?> bufferingTimer;
+        private Future<?> idleTimer;
+
+        /** When content last arrived, or could not arrive because reading was paused. */
+        private long lastContentUs = clock.nowUs();
 
         private Relay relay;
         private long receivedBytes;
@@ -723,6 +734,7 @@
         }
 
         void onContent(HttpContent content) {
+            lastContentUs = clock.nowUs();
             receivedBytes += content.content().readableBytes();
             malformed |=
                     content.decoderResult().isFailure() || receivedBytes > RequestBody.MAX_BYTES;
@@ -767,6 +779,7 @@
                 streaming = true;
                 connection.channel.config().setAutoRead(false);
                 request.cancelTimeout();
+                scheduleIdleCheck(RESPONSE_IDLE_TIMEOUT_US);
                 request.listener.onStreamStarted(this);
             } else {
                 connection.close();
@@ -786,6 +799,24 @@
             return streaming;
         }
 
+        private void scheduleIdleCheck(long delayUs) {
+            idleTimer = loop.schedule(this::abortIfIdle, delayUs, TimeUnit.MICROSECONDS);
+        }
+
+        /** Aborts the response if nothing has arrived for too long, or checks again later. */
+        private void abortIfIdle() {
+            if (!connection.channel.config().isAutoRead()) {
+                lastContentUs = clock.nowUs();
+            }
+            long leftUs = lastContentUs + RESPONSE_IDLE_TIMEOUT_US - clock.nowUs();
+            if (leftUs > 0) {
+                scheduleIdleCheck(leftUs);
+            } else {
+                log.write("response from " + connection.address + " aborted: no more data arrives");
+                connection.channel.close();
+            }
+        }
+
         @Override
         public long length() {
             return declaredLength;
@@ -828,7 +859,7 @@
          *     broken in this case unless it is streamed
          */
         void finish(boolean unsolicited) {
-            cancelBufferingTimer();
+            cancelTimers();
             byte[] body = streaming ? null : buffered.take();
             if (malformed || unsolicited && !streaming) {
                 drop();
@@ -843,7 +874,7 @@
 
         /** Drops a response that will not be completed. */
         void drop() {
-            cancelBufferingTimer();
+            cancelTimers();
             buffered.drop();
             if (relay != null) {
                 relay.stop();
@@ -851,10 +882,13 @@
             }
         }
 
-        private void cancelBufferingTimer() {
+        private void cancelTimers() {
             if (bufferingTimer != null) {
                 bufferingTimer.cancel(false);
             }
+            if (idleTimer != null) {
+                idleTimer.cancel(false);
+            }
         }
     }
 
--- a/src/test/java/passhatch/proxy/HttpConnection.java
+++ b/src/test/java/passhatch/proxy/HttpConnection.java
@@ -53,6 +53,11 @@
         return new HttpConnection(new Socket(address.getAddress(), address.getPort()));
     }
 
+    /** Sets how long a read waits for data, instead of {@link #TIMEOUT_MS}. */
+    public void setTimeoutMs(int timeoutMs) throws IOException {
+        socket.setSoTimeout(timeoutMs);
+    }
+
     /**
      * Returns a connection with a minimal receive buffer, so that data it does not read stays at
      * its peer.
