Claim an id anew when its request took longer than the claim, and keep unread input

A connection whose further input waits for its turn counted as idle, so that an orderly end of the process could close it over requests that had been read.

Change: the end of a request claims its id anew; a connection with input that was not processed yet counts as having started a request.

--- a/src/main/java/passhatch/proxy/RunOnceGuard.java
+++ b/src/main/java/passhatch/proxy/RunOnceGuard.java
@@ -43,12 +43,19 @@
         return claim;
     }
 
-    /** Sets how long the id of a request stays claimed whose attempts have all ended. */
+    /**
+     * Sets how long the id of a request stays claimed whose attempts have all ended. A long body or
+     * response may have taken longer than the first claim lasts.
+     */
     void onCompleted(Exchange exchange) {
-        if (exchange.idClaimed) {
-            long nowUs = sharedClockUs();
-            long retentionUs = exchange.writtenAndMayHaveRun() ? ClaimedIds.RETENTION_US : 0;
-            claimedIds.claimUntil(exchange.request.id(), nowUs, nowUs + retentionUs);
+        if (!exchange.idClaimed) {
+            return;
+        }
+        String id = exchange.request.id();
+        long nowUs = sharedClockUs();
+        long untilUs = exchange.writtenAndMayHaveRun() ? nowUs + ClaimedIds.RETENTION_US : nowUs;
+        if (claimedIds.claim(id, nowUs, untilUs) == ClaimedIds.Claim.CLAIMED_BEFORE) {
+            claimedIds.claimUntil(id, nowUs, untilUs);
         }
     }
 
--- a/src/main/java/passhatch/proxy/client/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/client/ClientConnection.java
@@ -111,9 +111,9 @@
         return readAhead;
     }
 
-    /** Returns whether a request has been received in part, but not completely. */
+    /** Returns whether a request has been received in part or has not been processed yet. */
     boolean requestStarted() {
-        return requestStarted;
+        return requestStarted || readAhead.hasInput();
     }
 
     /** Sets the time at which the last open request was answered, in microseconds. */
--- a/src/main/java/passhatch/proxy/client/ReadAhead.java
+++ b/src/main/java/passhatch/proxy/client/ReadAhead.java
@@ -126,6 +126,11 @@
         }
     }
 
+    /** Returns whether input has been read that was not forwarded yet. */
+    boolean hasInput() {
+        return !buffered.isEmpty();
+    }
+
     /** Sets whether the input belongs to the body of a request. */
     void setReceivingBody(boolean value) {
         receivingBody = value;
