Test: bound the time of the tests with bad and leaving clients

While the log stopped the event loop, the test of it hung on its 2,000 connects for minutes, as a connect may wait 5 s. A test that fails has to end.

Change: a minute for each play of BadClientsIT, two for each of LeavingClientsIT.

Measured: the plays took 3 to 30 s each so far.

--- a/src/test/java/passhatch/lab/soak/BadClientsIT.java
+++ b/src/test/java/passhatch/lab/soak/BadClientsIT.java
@@ -7,6 +7,7 @@
 import java.util.function.IntFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -14,6 +15,7 @@
 import passhatch.lab.Seeds;
 
 /** Clients whose misbehaviour must neither end the proxy nor cost other clients anything. */
+@Timeout(60)
 class BadClientsIT extends ProxyProcessCase {
 
     private static final int CLIENTS = 330;
--- a/src/test/java/passhatch/lab/soak/LeavingClientsIT.java
+++ b/src/test/java/passhatch/lab/soak/LeavingClientsIT.java
@@ -7,10 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that leave without waiting for their responses. */
+@Timeout(120)
 class LeavingClientsIT extends ProxyProcessCase {
 
     private static final int ROW = 12;
