--- a/src/test/java/passhatch/lab/soak/LateBodiesIT.java
+++ b/src/test/java/passhatch/lab/soak/LateBodiesIT.java
@@ -35,8 +35,8 @@
         startProxy(144);
         List<Thread> clients = new ArrayList<>();
         for (Case late : CASES) {
-            ClientRequest request =
-                    testbed.records.newRequest(late.query(), RequestKind.LOOKUP, 1_500);
+            String id = "late-" + CASES.indexOf(late);
+            ClientRequest request = testbed.records.newRequest(id, RequestKind.LOOKUP, 1_500);
             Thread client = new Thread(() -> exchange(late, request));
             client.start();
             clients.add(client);
