--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -634,7 +634,8 @@
             meanSendGapUs += (gapUs - meanSendGapUs) * (meanSendGapUs == 0 ? 1 : MEAN_WEIGHT);
         }
         lastSentAtUs = nowUs;
-        Attempt attempt = new Attempt(request, server, nowUs, load(nowUs, request, server) + request.relativeWork,
+        Attempt attempt = new Attempt(request, server, nowUs,
+                load(nowUs, request, server) + request.relativeWork,
                 probesPerRequest == 0 || server.reportValidUntilUs > nowUs);
         request.attempts.add(attempt);
         startResponseTimer(nowUs, attempt);
@@ -688,7 +689,8 @@
                 remaining--;
                 boolean matches = switch (filter) {
                     case ANY -> hasCapacity(nowUs, request, server);
-                    case REPORTED_IDLE -> server.reportValidUntilUs > nowUs && load(nowUs, request, server) == 0
+                    case REPORTED_IDLE -> server.reportValidUntilUs > nowUs
+                            && load(nowUs, request, server) == 0
                             && !isDemoted(nowUs, server);
                     case UNKNOWN_LOAD -> server.probedAtUs == Long.MIN_VALUE
                             && server.reportValidUntilUs <= nowUs;
