Stop using a pushed list as soon as no watch confirms it

Both proxies knew from the reset of their watches on, 2 s before the drain, that no watch was open.

Cause: ListLease gave a process whose lists are pushed the 6 s from the end of its watch that hold where discovery is asked. The same two facts were believed on two more paths: a list known from before the start was used after 7 s without discovery, and an address change gave 4 s more.

Change: where lists are pushed, a process is deemed notified of each change at the time of the change. Without a watch the lease ends one drain grace, less two stalls, after the last time as of which the list is known to be current; an empty line or a change on a watch says nothing of the 2 s before it, as for lists that are asked for; a list from before the start is never used unconfirmed. Nothing changes where discovery is asked.

--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -12,16 +12,24 @@
  * while a watch is alive, and expires some time after the watch has ended. Only discovery's own
  * messages renew it: a server that accepts requests may drain or be removed all the same.
  *
+ * <p>Where this process must ask for changes, the lease outlasts the watch by some seconds. Where
+ * lists are pushed, this process is deemed notified of each change at the time of the change,
+ * whether a watch is open or not. Without a watch, no missed change can be excluded, so the lease
+ * then expires the drain grace after the last time as of which the list is known to be current.
+ *
  * <p>The class reads no clock; all times are in microseconds of one clock.
  */
 public final class ListLease {
 
     /**
-     * How long after discovery had a change this process is deemed notified of that change, whether
-     * or not a notice arrived.
+     * How long after discovery had a change a process that must ask for changes is deemed notified
+     * of that change at the latest, whether or not a notice arrived.
      */
     public static final long NOTIFY_TIMEOUT_US = 6_000_000;
 
+    /** The same time where lists are pushed. */
+    private static final long PUSHED_NOTIFY_TIMEOUT_US = 0;
+
     /**
      * Within this time after a change of discovery's address, this process is deemed notified of
      * all changes that discovery had by then. If discovery gets a change up to this long after the
@@ -36,8 +44,8 @@
     public static final long MAX_STALL_US = 150_000;
 
     /**
-     * Time after which a process that could not reach discovery uses the list given to it at its
-     * start. The process has to serve within 10 s of its start, of which 3 s are for the start
+     * Time after which a process that must ask for changes and could not reach discovery uses the
+     * list given to it at its start. The process has to serve within 10 s of its start, of which 3 s are for the start
      * itself.
      */
     public static final long UNCONFIRMED_START_TIMEOUT_US = 7_000_000;
@@ -49,6 +57,10 @@
 
     private final long drainGraceUs;
     private final long notifyTimeoutUs;
+
+    /** Whether a list remembered from before the start may ever be used without confirmation. */
+    private final boolean usesUnconfirmedList;
+
     private long watchedUntilUs = NEVER;
     private long currentAsOfUs = NEVER;
     private long rememberedListUsableFromUs = Long.MAX_VALUE;
@@ -64,25 +76,33 @@
      */
     private final ArrayDeque<AddressChange> addressChanges = new ArrayDeque<>();
 
-    private ListLease(long drainGraceUs, long notifyTimeoutUs) {
+    private ListLease(long drainGraceUs, long notifyTimeoutUs, boolean usesUnconfirmedList) {
         this.drainGraceUs = drainGraceUs;
         this.notifyTimeoutUs = notifyTimeoutUs;
+        this.usesUnconfirmedList = usesUnconfirmedList;
     }
 
     /**
      * Returns a lease for a process that has no list of servers yet.
      *
-     * @param mustAsk whether this process must ask discovery for changes
+     * @param mustAsk whether this process must ask discovery for changes; false if lists are pushed
      */
     static ListLease of(Rules rules, boolean mustAsk) {
-        long maxDelayUs =
-                mustAsk && rules.askWithinUs() > 0 ? rules.askWithinUs() : NOTIFY_TIMEOUT_US;
-        return new ListLease(rules.drainGraceUs(), Math.min(maxDelayUs, NOTIFY_TIMEOUT_US));
+        if (!mustAsk) {
+            return new ListLease(rules.drainGraceUs(), PUSHED_NOTIFY_TIMEOUT_US, false);
+        }
+        long maxDelayUs = rules.askWithinUs() > 0 ? rules.askWithinUs() : NOTIFY_TIMEOUT_US;
+        return new ListLease(rules.drainGraceUs(), Math.min(maxDelayUs, NOTIFY_TIMEOUT_US), true);
     }
 
-    /** Starts the lease with a list of unknown age. */
+    /**
+     * Starts the lease with a list of unknown age. Where lists are pushed, this process is deemed
+     * notified of all changes from its start, so the list is not used until it is confirmed.
+     */
     void startFromRememberedList(long nowUs) {
-        rememberedListUsableFromUs = nowUs + UNCONFIRMED_START_TIMEOUT_US;
+        if (usesUnconfirmedList) {
+            rememberedListUsableFromUs = nowUs + UNCONFIRMED_START_TIMEOUT_US;
+        }
     }
 
     /**
--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -22,10 +22,7 @@
     /** Maximum size of a list in bytes. */
     private static final int MAX_LIST_BYTES = 1 << 22;
 
-    /**
-     * Maximum time from a change of the list until a watch receives the change, if discovery must
-     * be asked for changes.
-     */
+    /** Maximum time from a change of the list until a watch receives the change. */
     private static final long MAX_CHANGE_DELAY_US =
             TimeUnit.MILLISECONDS.toMicros(WatchBudget.EMPTY_LINE_INTERVAL_MS);
 
@@ -534,8 +531,7 @@
          * later changes may follow.
          */
         private ListFreshness freshness(long sentUs) {
-            long asOfUs =
-                    messageReceived && config.onRequest() ? sentUs - MAX_CHANGE_DELAY_US : sentUs;
+            long asOfUs = messageReceived ? sentUs - MAX_CHANGE_DELAY_US : sentUs;
             return new ListFreshness(
                     asOfUs,
                     isFetch || this == previous
