--- a/src/main/java/passhatch/lab/drain/DiscoveryModel.java
+++ b/src/main/java/passhatch/lab/drain/DiscoveryModel.java
@@ -30,8 +30,17 @@
         CROWDED,
         /** Discovery accepts a call and never responds. */
         DEAF,
-        /** Discovery is unreachable. */
-        DOWN
+        /** Discovery is unreachable: connections fail, or calls are rejected after a while. */
+        DOWN,
+        /**
+         * Discovery is unreachable behind an agent that pushes its lists: open watches fall silent,
+         * and calls get their responses when discovery is back.
+         */
+        SILENT_OUTAGE;
+
+        boolean isOutage() {
+            return this == DOWN || this == SILENT_OUTAGE;
+        }
     }
 
     /** What may happen to a message on a watch or in a response. */
@@ -136,6 +145,9 @@
     private Mode mode = Mode.WELL;
     private long downSinceUs;
 
+    /** Calls that wait for the end of a {@link Mode#SILENT_OUTAGE}. */
+    private final List<Runnable> heldResponses = new ArrayList<>();
+
     /** Maximum time from a change of the list until discovery writes the change on a watch. */
     private long maxWatchDelayUs;
 
@@ -199,15 +211,25 @@
     }
 
     void mode(Mode next) {
-        if (mode == Mode.DOWN && next != Mode.DOWN) {
+        if (mode.isOutage() && !next.isOutage()) {
             record.add(new Outage(downSinceUs, queue.nowUs()));
         }
-        if (mode != Mode.DOWN && next == Mode.DOWN) {
+        if (!mode.isOutage() && next.isOutage()) {
             downSinceUs = queue.nowUs();
+        }
+        if (mode != Mode.DOWN && next == Mode.DOWN) {
             resetCalls();
         }
+        if (mode != Mode.SILENT_OUTAGE && next == Mode.SILENT_OUTAGE) {
+            silenceCalls();
+        }
         mode = next;
         timeline.accept("discovery is " + next);
+        if (!next.isOutage()) {
+            List<Runnable> responses = List.copyOf(heldResponses);
+            heldResponses.clear();
+            responses.forEach(Runnable::run);
+        }
     }
 
     /** Sets how messages are delivered from now on. */
@@ -259,7 +281,7 @@
      */
     void completeRecord() {
         List.copyOf(calls.values()).forEach(OpenCall::recordEnd);
-        if (mode == Mode.DOWN) {
+        if (mode.isOutage()) {
             record.add(new Outage(downSinceUs, queue.nowUs()));
         }
     }
@@ -285,6 +307,7 @@
             case DOWN -> scheduleAfter(MAX_QUEUE_DELAY_US, () -> reject(call));
             case CROWDED -> handleWhileOverloaded(call, path);
             case DEAF -> call.silentFromUs = queue.nowUs();
+            case SILENT_OUTAGE -> heldResponses.add(() -> respond(call, path));
         }
     }
 
--- a/src/main/java/passhatch/lab/drain/DrainChecker.java
+++ b/src/main/java/passhatch/lab/drain/DrainChecker.java
@@ -32,6 +32,13 @@
      */
     private static final long SILENT_WATCH_NOTIFY_TIMEOUT_US = 6_000_000;
 
+    /**
+     * Time within which a proxy to which lists are pushed has to notice that its watch fell silent:
+     * the interval of the empty lines on a watch, and a margin of 1 s. The specification allows
+     * {@link #SILENT_WATCH_NOTIFY_TIMEOUT_US}.
+     */
+    private static final long SILENCE_DETECTION_TIMEOUT_US = 3_000_000;
+
     /**
      * Time from the signal that discovery's address has changed until the proxy is deemed notified
      * of all changes that discovery has.
@@ -71,7 +78,9 @@
         MOVED,
         /**
          * If lists are pushed, a proxy is deemed notified at the time of the change. If discovery
-         * is unreachable at that time, the proxy is deemed notified at the end of the outage.
+         * is unreachable at that time, the proxy is deemed notified at the end of the outage. If the
+         * proxy's open watch has fallen silent, it is deemed notified once it has to have noticed
+         * that.
          */
         PUSHED
     }
@@ -121,10 +130,10 @@
     }
 
     /**
-     * Counts the cases in which a rule other than {@link NotificationRule#WRITTEN} decides when a
-     * proxy is deemed notified that a server was taken out of use. Discovery has not written the
-     * change to the proxy by then, and may never write it. A change counts once for each such
-     * proxy. A run without any such case does not exercise these rules.
+     * Counts the cases in which a proxy is deemed notified that a server was taken out of use before
+     * discovery has written the change to the proxy; it may never write it. A change counts once
+     * for each such proxy. A run without any such case does not exercise the rules other than
+     * {@link NotificationRule#WRITTEN}.
      */
     public static int countNotifiedBeforeWritten(DrainRecord record) {
         DrainChecker checker = new DrainChecker(record);
@@ -133,7 +142,8 @@
         for (Change change : record.changes) {
             for (String proxy : proxies) {
                 boolean written =
-                        checker.findNotification(change, proxy).rule() == NotificationRule.WRITTEN;
+                        checker.writtenUs(change, proxy)
+                                <= checker.findNotification(change, proxy).atUs();
                 count += change.up() || written ? 0 : 1;
             }
         }
@@ -183,7 +193,11 @@
         Notification earliest =
                 new Notification(reachableUs + NOTIFY_TIMEOUT_US, NotificationRule.REACHABLE);
         if (record.rules.pushed()) {
-            earliest = earlier(earliest, reachableUs, NotificationRule.PUSHED);
+            earliest =
+                    earlier(
+                            earliest,
+                            pushedNotifiedUs(change, proxy, reachableUs),
+                            NotificationRule.PUSHED);
         } else {
             earliest = earlier(earliest, writtenUs(change, proxy), NotificationRule.WRITTEN);
             earliest =
@@ -222,6 +236,32 @@
         return DrainRecord.NEVER;
     }
 
+    /**
+     * Returns the time at which a proxy to which lists are pushed is deemed notified of a change, in
+     * microseconds: as soon as discovery can be reached or, if its watch has fallen silent, once it
+     * has to have noticed that or has ended the watch.
+     */
+    private long pushedNotifiedUs(Change change, String proxy, long reachableUs) {
+        long notifiedUs = reachableUs;
+        for (Call call : record.calls) {
+            if (call.responseUs() <= call.silentFromUs() && isMissedBySilentCall(change, proxy, call)) {
+                long noticedUs =
+                        Math.min(
+                                call.endedUs(),
+                                call.silentFromUs() + SILENCE_DETECTION_TIMEOUT_US);
+                notifiedUs = Math.max(notifiedUs, noticedUs);
+            }
+        }
+        return notifiedUs;
+    }
+
+    /** Returns whether a proxy's call has fallen silent before a change and was in use then. */
+    private boolean isMissedBySilentCall(Change change, String proxy, Call call) {
+        return call.proxy().equals(proxy)
+                && call.silentFromUs() <= change.atUs()
+                && change.atUs() < Math.min(call.endedUs(), laterResponseUs(call));
+    }
+
     /**
      * Returns the time at which the proxy is deemed notified of a change that a silent watch
      * misses, in microseconds. A watch misses all changes from the moment it falls silent until the
@@ -230,9 +270,7 @@
     private long silentWatchNotifiedUs(Change change, String proxy) {
         long notifiedUs = DrainRecord.NEVER;
         for (Call call : record.calls) {
-            if (call.proxy().equals(proxy)
-                    && call.silentFromUs() <= change.atUs()
-                    && change.atUs() < Math.min(call.endedUs(), laterResponseUs(call))) {
+            if (isMissedBySilentCall(change, proxy, call)) {
                 notifiedUs =
                         Math.min(
                                 notifiedUs,
--- a/src/main/java/passhatch/lab/drain/DrainSimulation.java
+++ b/src/main/java/passhatch/lab/drain/DrainSimulation.java
@@ -28,6 +28,11 @@
     private static final long MAX_ACCEPT_US = 30_000_000;
     private static final long MAX_FAULT_US = 12_000_000;
     private static final long MAX_PAUSE_US = 12_000_000;
+
+    /** Maximum time from the start of a run until the proxy starts, if lists are pushed. */
+    private static final long MAX_START_DELAY_US = 8_000_000;
+
+    private static final int FAULT_KINDS = 8;
     private static final int MAX_CONSECUTIVE_ADDRESS_CHANGES = 4;
     private static final long MAX_ADDRESS_CHANGE_GAP_US = 1_600_000;
 
@@ -56,6 +61,14 @@
         MAY_ACCEPT
     }
 
+    /** How the proxy gets the list of servers. */
+    enum ListMode {
+        /** The proxy must ask discovery for changes. */
+        ON_REQUEST,
+        /** Changes are pushed to the proxy, which starts with a list that may be old. */
+        PUSHED
+    }
+
     private final long seed;
     private final DrainBehavior draining;
     private final Scenario scenario;
@@ -67,13 +80,15 @@
     private final UniformRandomProvider faultRandom;
     private final UniformRandomProvider changeRandom;
     private final UniformRandomProvider loadRandom;
+    private final UniformRandomProvider startRandom;
     private final Consumer<String> timeline;
 
-    private DrainSimulation(long seed, DrainBehavior draining, Consumer<String> output) {
+    private DrainSimulation(
+            long seed, DrainBehavior draining, ListMode lists, Consumer<String> output) {
         Seeds seeds = new Seeds(seed);
         this.seed = seed;
         this.draining = draining;
-        this.scenario = Scenario.draw(seeds);
+        this.scenario = Scenario.draw(seeds, lists == ListMode.PUSHED);
         this.timeline =
                 text ->
                         output.accept(
@@ -84,7 +99,8 @@
                                         text));
         this.record =
                 new DrainRecord(
-                        new DrainRecord.Rules(false, scenario.graceUs(), scenario.askEveryUs()));
+                        new DrainRecord.Rules(
+                                scenario.pushed(), scenario.graceUs(), scenario.askEveryUs()));
         this.discovery = new DiscoveryModel(queue, seeds.stream("discovery"), record, timeline);
         this.proxy =
                 new ProxyModel(
@@ -98,16 +114,18 @@
         this.faultRandom = seeds.stream("faults");
         this.changeRandom = seeds.stream("changes");
         this.loadRandom = seeds.stream("load");
+        this.startRandom = seeds.stream("start");
     }
 
     /** Simulates one run with the given seed. */
-    static RunResult simulate(long seed, DrainBehavior draining) {
-        return simulate(seed, draining, line -> {});
+    static RunResult simulate(long seed, DrainBehavior draining, ListMode lists) {
+        return simulate(seed, draining, lists, line -> {});
     }
 
     /** Simulates one run with the given seed and writes a line for each event. */
-    static RunResult simulate(long seed, DrainBehavior draining, Consumer<String> timeline) {
-        return new DrainSimulation(seed, draining, timeline).run();
+    static RunResult simulate(
+            long seed, DrainBehavior draining, ListMode lists, Consumer<String> timeline) {
+        return new DrainSimulation(seed, draining, lists, timeline).run();
     }
 
     private RunResult run() {
@@ -115,10 +133,19 @@
         for (int i = 0; i < scenario.servers(); i++) {
             startServer("s" + i);
         }
-        proxy.start(scenario, parse(discovery.currentList()));
+        EndpointList initialList = parse(discovery.currentList());
+        if (scenario.pushed()) {
+            long startDelayUs =
+                    startRandom.nextBoolean() ? 0 : startRandom.nextLong(MAX_START_DELAY_US);
+            queue.scheduleAfter(startDelayUs, () -> startProxy(initialList));
+        } else {
+            proxy.start(scenario, initialList);
+        }
         queue.scheduleAfter(scenario.quietUs(), this::makeNextChange);
         queue.scheduleAfter(scenario.quietUs(), this::injectNextFault);
-        queue.scheduleAfter(0, this::sendNextRequest);
+        if (!scenario.pushed()) {
+            queue.scheduleAfter(0, this::sendNextRequest);
+        }
         long endUs = START_US + scenario.durationUs();
         for (Runnable event = queue.pollUntil(endUs);
                 event != null;
@@ -136,6 +163,12 @@
                 proxy.sentCount());
     }
 
+    private void startProxy(EndpointList initialList) {
+        timeline.accept("the proxy starts with version " + initialList.index());
+        proxy.start(scenario, initialList);
+        sendNextRequest();
+    }
+
     private static EndpointList parse(String text) {
         try {
             return EndpointList.parse(JSON.std.mapFrom(text), List.of("a"), List.of("m"));
@@ -194,7 +227,7 @@
     // ---- faults
 
     private void injectNextFault() {
-        switch (faultRandom.nextInt(8)) {
+        switch (faultRandom.nextInt(scenario.pushed() ? FAULT_KINDS + 1 : FAULT_KINDS)) {
             case 0 -> setTemporaryMode(DiscoveryModel.Mode.SLOW);
             case 1 -> setTemporaryMode(DiscoveryModel.Mode.CROWDED);
             case 2 -> setTemporaryMode(DiscoveryModel.Mode.DEAF);
@@ -202,6 +235,7 @@
             case 4 -> discovery.silenceCalls();
             case 5 -> pauseProxy();
             case 6 -> changeAddress(1 + faultRandom.nextInt(MAX_CONSECUTIVE_ADDRESS_CHANGES));
+            case FAULT_KINDS -> setTemporaryMode(DiscoveryModel.Mode.SILENT_OUTAGE);
             default -> discovery.resetCalls();
         }
         if (faultRandom.nextInt(3) == 0) {
@@ -229,7 +263,7 @@
     }
 
     private void pauseProxy() {
-        if (proxy.isPaused()) {
+        if (!proxy.isStarted() || proxy.isPaused()) {
             return;
         }
         proxy.pause();
@@ -237,6 +271,9 @@
     }
 
     private void changeAddress(int remaining) {
+        if (!proxy.isStarted()) {
+            return;
+        }
         discovery.changeAddress();
         proxy.signalAddressChange();
         if (remaining > 1) {
--- a/src/main/java/passhatch/lab/drain/ProxyModel.java
+++ b/src/main/java/passhatch/lab/drain/ProxyModel.java
@@ -104,7 +104,7 @@
                         new ListWatch.WatchConfig(
                                 discovery.address(),
                                 initialList,
-                                true,
+                                !scenario.pushed(),
                                 List.of("a"),
                                 List.of("m"),
                                 scenario.graceUs()),
@@ -113,6 +113,13 @@
                         this,
                         timeline);
         balancer.serversChanged(queue.nowUs(), ListKind.REMEMBERED, initialList.servers());
+        if (scenario.pushed()) {
+            watch.startWatch(queue.nowUs());
+        }
+    }
+
+    boolean isStarted() {
+        return watch != null;
     }
 
     private static Balancer.Settings settings(Scenario scenario) {
@@ -138,7 +145,7 @@
                                 2,
                                 1_000_000))
                 .prices(new Prices(0, 0))
-                .watch(true)
+                .watch(!scenario.pushed())
                 .build();
     }
 
--- a/src/main/java/passhatch/lab/drain/Scenario.java
+++ b/src/main/java/passhatch/lab/drain/Scenario.java
@@ -17,6 +17,7 @@
  * @param faultGapUs mean time between two faults, and between two changes of the list
  * @param servers number of servers
  * @param lateUs maximum time from a change of the list until discovery writes the change on a watch
+ * @param pushed whether lists are pushed to the proxy; otherwise it must ask for them
  */
 record Scenario(
         long durationUs,
@@ -27,7 +28,8 @@
         long quietUs,
         long faultGapUs,
         int servers,
-        long lateUs) {
+        long lateUs,
+        boolean pushed) {
 
     private static final long SECOND_US = TimeUnit.SECONDS.toMicros(1);
 
@@ -37,7 +39,11 @@
      */
     private static final long MAX_WATCH_DELAY_US = 2 * SECOND_US;
 
-    static Scenario draw(Seeds seeds) {
+    /**
+     * Draws the settings of a run. Pushed changes are written on a watch at once: how late a change
+     * reaches the agent that pushes it is before the time of the change.
+     */
+    static Scenario draw(Seeds seeds, boolean pushed) {
         UniformRandomProvider random = seeds.stream("scenario");
         return new Scenario(
                 40 * SECOND_US,
@@ -50,6 +56,7 @@
                 random.nextInt(4) == 0 ? random.nextLong(15 * SECOND_US) : SECOND_US,
                 random.nextLong(SECOND_US, 5 * SECOND_US),
                 random.nextInt(3, 7),
-                random.nextBoolean() ? 0 : random.nextLong(MAX_WATCH_DELAY_US + 1));
+                pushed || random.nextBoolean() ? 0 : random.nextLong(MAX_WATCH_DELAY_US + 1),
+                pushed);
     }
 }
--- a/src/main/java/passhatch/lab/drain/WatchCommand.java
+++ b/src/main/java/passhatch/lab/drain/WatchCommand.java
@@ -43,6 +43,14 @@
                             + " ${DEFAULT-VALUE}.")
     private DrainSimulation.DrainBehavior draining;
 
+    @Option(
+            names = "--lists",
+            defaultValue = "ON_REQUEST",
+            description =
+                    "How the proxy gets the list: ${COMPLETION-CANDIDATES}; default:"
+                            + " ${DEFAULT-VALUE}.")
+    private DrainSimulation.ListMode lists;
+
     @Option(names = "--timeline", description = "Print all events of the run; for a single seed.")
     private boolean timeline;
 
@@ -63,11 +71,11 @@
     public Integer call() {
         PrintWriter out = spec.commandLine().getOut();
         if (timeline && seeds.count() == 1) {
-            DrainSimulation.simulate(seeds.first(), draining, out::println);
+            DrainSimulation.simulate(seeds.first(), draining, lists, out::println);
         }
         seeds.seeds()
                 .parallel()
-                .forEach(seed -> countRun(DrainSimulation.simulate(seed, draining), out));
+                .forEach(seed -> countRun(DrainSimulation.simulate(seed, draining, lists), out));
         out.printf(
                 "%d seeds, %d broken; %d had a drain that went unheard; %d requests, %.1f%% of them"
                         + " sent%n",
@@ -105,10 +113,10 @@
 
     private void printTimeline(long seed, PrintWriter out) {
         out.println("the first that broke the rule, seed " + seed + ":");
-        DrainSimulation.simulate(seed, draining, out::println);
+        DrainSimulation.simulate(seed, draining, lists, out::println);
         out.printf(
-                "again: java -jar target/passhatch-lab.jar watch --timeline --draining %s --seeds"
-                        + " %d%n",
-                draining, seed);
+                "again: java -jar target/passhatch-lab.jar watch --timeline --draining %s --lists %s"
+                        + " --seeds %d%n",
+                draining, lists, seed);
     }
 }
