Call discovery again at once where a lost watch takes a pushed list out of use

Need: a pushed list is out of use while no watch confirms it, so each wait before the next call is time without service. Two were not needed: the delay of 25 to 75 ms after the end of a watch or after a call that had waited in vain (up to 150 ms, less with a short grace), and a timer that found a watch silent up to 0.5 s late, as it still waited for the end of the call's time for a first message.

Change, where lists are pushed: a call that lasted at least 1 s is repeated at once, its own duration limits the rate; shorter ones are repeated with back-off as before. Each message arms the check for silence for the moment in which the list goes out of use. Nothing changes for lists on request.

--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -32,6 +32,12 @@
      */
     private static final long MAX_IMMEDIATE_REJECTION_US = TimeUnit.SECONDS.toMicros(1);
 
+    /**
+     * If lists are pushed, a call that lasted at least this long is repeated without delay. Its own
+     * duration limits the rate of calls, and the list is out of use until the next response.
+     */
+    private static final long MIN_REPEAT_INTERVAL_US = TimeUnit.SECONDS.toMicros(1);
+
     private static final int OK = 200;
 
     /**
@@ -386,13 +392,22 @@
                         + ": "
                         + call.endReason
                         + (call.scanner.hasIncompleteObject() ? ", inside an object" : ""));
+        // If discovery must be asked for changes, the decision module is notified and chooses when
+        // to call again.
+        listener.onWatchLost();
         if (!config.onRequest()) {
+            repeatAfter(call);
+        }
+    }
+
+    /** Starts the next call after one that has ended, at once or after a delay. */
+    private void repeatAfter(Call ended) {
+        if (nowUs - ended.startedUs >= MIN_REPEAT_INTERVAL_US) {
+            startWatch(nowUs);
+        } else {
             nextCallUs = nowUs + millisToMicros(backoff.nextDelayMs());
             wakeAt(nextCallUs);
         }
-        // If discovery must be asked for changes, the decision module is notified and chooses when
-        // to call again.
-        listener.onWatchLost();
     }
 
     private static long millisToMicros(long ms) {
@@ -505,6 +520,10 @@
             messageReceived = true;
             lastMessageUs = arrivedUs;
             messageTimeoutMs = budget.initialMessageTimeoutMs();
+            if (!config.onRequest()) {
+                // A pushed list is out of use from this time on, so the next call must not be late.
+                wakeAt(lastMessageUs + millisToMicros(budget.silenceTimeoutMs()));
+            }
         }
 
         /** Handles an empty line, by which a watch confirms that there are no changes. */
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -25,25 +25,29 @@
     private final List<EndpointList> listed = new ArrayList<>();
     private final List<ListFreshness> freshnesses = new ArrayList<>();
     private final List<Long> pending = new ArrayList<>();
+    private final List<Long> wakeTimes = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
     private int lostWatches;
     private int rejections;
     private long now = 100 * S;
     private long call;
 
-    private final ListWatch watch =
-            new ListWatch(
-                    new ListWatch.WatchConfig(
-                            new InetSocketAddress(0),
-                            KNOWN,
-                            true,
-                            List.of("a"),
-                            List.of("m"),
-                            750 * MS),
-                    1,
-                    new RecordingTransport(),
-                    new RecordingListener(),
-                    log::add);
+    private ListWatch watch = newWatch(true);
+
+    private ListWatch newWatch(boolean onRequest) {
+        return new ListWatch(
+                new ListWatch.WatchConfig(
+                        new InetSocketAddress(0),
+                        KNOWN,
+                        onRequest,
+                        List.of("a"),
+                        List.of("m"),
+                        750 * MS),
+                1,
+                new RecordingTransport(),
+                new RecordingListener(),
+                log::add);
+    }
 
     private final class RecordingTransport implements ListWatch.Transport {
         @Override
@@ -59,7 +63,9 @@
         }
 
         @Override
-        public void wakeAt(long atUs) {}
+        public void wakeAt(long atUs) {
+            wakeTimes.add(atUs);
+        }
     }
 
     private final class RecordingListener implements ListWatch.Listener {
@@ -194,6 +200,18 @@
         assertEquals(2, lostWatches);
     }
 
+    /** A message on a watch does not make a pushed list current up to the end of the watch. */
+    @Test
+    void whereListsArePushedAnEmptyLineProvesNothingAboutTheTwoSecondsBeforeIt() {
+        watch = newWatch(false);
+        openWatch();
+        receive(message(8, true, entry("s", "SERVING")));
+        assertEquals(now, lastAsOfUs());
+        now += 2 * S;
+        receive("");
+        assertEquals(now - 2 * S, lastAsOfUs());
+    }
+
     /** An empty line was observed 1.1 s after a change that discovery had not sent yet. */
     @Test
     void anEmptyLineProvesNothingAboutTheTwoSecondsBeforeIt() {
@@ -321,6 +339,53 @@
         assertEquals(1, rejections);
     }
 
+    /** Guards against seconds without a list: a pushed list is out of use without a watch. */
+    @Test
+    void whereListsArePushedACallThatLastedASecondIsRepeatedAtOnce() {
+        watch = newWatch(false);
+        openWatch();
+        receive(message(8, true));
+        now += S;
+        watch.onClosed(now, call);
+        assertEquals(1, lostWatches);
+        assertEquals(2, requestedPaths.size(), "no call after the end of the watch");
+        now += 3 * S;
+        watch.onResponseHead(now, call, 503);
+        assertEquals(3, requestedPaths.size(), "no call after one that waited in vain");
+    }
+
+    /** A discovery service that ends each watch at once must not be called all the time. */
+    @Test
+    void whereListsArePushedCallsThatEndAtOnceAreRepeatedWithDelays() {
+        watch = newWatch(false);
+        openWatch();
+        int calls = 0;
+        long endUs = now + 10 * S;
+        while (now < endUs) {
+            receive(message(8, false));
+            watch.onClosed(now, call);
+            calls++;
+            now = wakeTimes.get(wakeTimes.size() - 1);
+            watch.onTimer(now);
+            watch.onResponseHead(now, call, 200);
+        }
+        assertTrue(calls > 100 && calls < 400, calls + " calls in 10 s");
+    }
+
+    /** Guards against a timer that still waits for the end of the call's first message. */
+    @Test
+    void whereListsArePushedSilenceIsNoticedWhenTheListGoesOutOfUse() {
+        watch = newWatch(false);
+        openWatch();
+        now += 100 * MS;
+        receive(message(8, true));
+        ListFreshness freshness = freshnesses.get(freshnesses.size() - 1);
+        assertTrue(wakeTimes.contains(freshness.watchedUntilUs()), wakeTimes::toString);
+        now = freshness.watchedUntilUs();
+        watch.onTimer(now);
+        assertEquals(2, requestedPaths.size(), "no call when the list goes out of use");
+    }
+
     private long lastAsOfUs() {
         return freshnesses.get(freshnesses.size() - 1).asOfUs();
     }
