--- a/src/main/java/passhatch/ListLease.java
+++ b/src/main/java/passhatch/ListLease.java
@@ -45,8 +45,8 @@
 
     /**
      * Time after which a process that must ask for changes and could not reach discovery uses the
-     * list given to it at its start. The process has to serve within 10 s of its start, of which 3 s are for the start
-     * itself.
+     * list given to it at its start. The process has to serve within 10 s of its start, of which 3
+     * s are for the start itself.
      */
     public static final long UNCONFIRMED_START_TIMEOUT_US = 7_000_000;
 
--- a/src/main/java/passhatch/lab/drain/DrainChecker.java
+++ b/src/main/java/passhatch/lab/drain/DrainChecker.java
@@ -78,9 +78,9 @@
         MOVED,
         /**
          * If lists are pushed, a proxy is deemed notified at the time of the change. If discovery
-         * is unreachable at that time, the proxy is deemed notified at the end of the outage. If the
-         * proxy's open watch has fallen silent, it is deemed notified once it has to have noticed
-         * that.
+         * is unreachable at that time, the proxy is deemed notified at the end of the outage. If
+         * the proxy's open watch has fallen silent, it is deemed notified once it has to have
+         * noticed that.
          */
         PUSHED
     }
@@ -130,9 +130,9 @@
     }
 
     /**
-     * Counts the cases in which a proxy is deemed notified that a server was taken out of use before
-     * discovery has written the change to the proxy; it may never write it. A change counts once
-     * for each such proxy. A run without any such case does not exercise the rules other than
+     * Counts the cases in which a proxy is deemed notified that a server was taken out of use
+     * before discovery has written the change to the proxy; it may never write it. A change counts
+     * once for each such proxy. A run without any such case does not exercise the rules other than
      * {@link NotificationRule#WRITTEN}.
      */
     public static int countNotifiedBeforeWritten(DrainRecord record) {
@@ -237,18 +237,18 @@
     }
 
     /**
-     * Returns the time at which a proxy to which lists are pushed is deemed notified of a change, in
-     * microseconds: as soon as discovery can be reached or, if its watch has fallen silent, once it
-     * has to have noticed that or has ended the watch.
+     * Returns the time at which a proxy to which lists are pushed is deemed notified of a change,
+     * in microseconds: as soon as discovery can be reached or, if its watch has fallen silent, once
+     * it has to have noticed that or has ended the watch.
      */
     private long pushedNotifiedUs(Change change, String proxy, long reachableUs) {
         long notifiedUs = reachableUs;
         for (Call call : record.calls) {
-            if (call.responseUs() <= call.silentFromUs() && isMissedBySilentCall(change, proxy, call)) {
+            if (call.responseUs() <= call.silentFromUs()
+                    && isMissedBySilentCall(change, proxy, call)) {
                 long noticedUs =
                         Math.min(
-                                call.endedUs(),
-                                call.silentFromUs() + SILENCE_DETECTION_TIMEOUT_US);
+                                call.endedUs(), call.silentFromUs() + SILENCE_DETECTION_TIMEOUT_US);
                 notifiedUs = Math.max(notifiedUs, noticedUs);
             }
         }
--- a/src/main/java/passhatch/lab/drain/WatchCommand.java
+++ b/src/main/java/passhatch/lab/drain/WatchCommand.java
@@ -115,8 +115,8 @@
         out.println("the first that broke the rule, seed " + seed + ":");
         DrainSimulation.simulate(seed, draining, lists, out::println);
         out.printf(
-                "again: java -jar target/passhatch-lab.jar watch --timeline --draining %s --lists %s"
-                        + " --seeds %d%n",
+                "again: java -jar target/passhatch-lab.jar watch --timeline --draining %s --lists"
+                        + " %s --seeds %d%n",
                 draining, lists, seed);
     }
 }
--- a/src/test/java/passhatch/UnconfirmedListTest.java
+++ b/src/test/java/passhatch/UnconfirmedListTest.java
@@ -340,7 +340,8 @@
                 }
                 boolean watched = now < watchedUntil;
                 boolean inGrace =
-                        current != Long.MIN_VALUE && now + MAX_STALL_MS * MS < current + GRACE_MS * MS;
+                        current != Long.MIN_VALUE
+                                && now + MAX_STALL_MS * MS < current + GRACE_MS * MS;
                 boolean usable = lease.usable(now);
                 assertFalse(usable && !watched && !inGrace, "seed " + seed);
                 usedWithoutWatch += usable && !watched ? 1 : 0;
