Repeat calls that waited in vain after a random delay again, not at once

Cause: repeated each call of a pushed list that had lasted 1 s at once. Proxies whose calls are rejected in the same moment then stand in discovery's line one behind the other each time, and where calls time out in the order of the line only the first of them has a chance.

Change: a call without a message is repeated with the back-off as before; only a watch that had lasted 1 s is resumed at once.

--- a/src/main/java/passhatch/proxy/discovery/ListWatch.java
+++ b/src/main/java/passhatch/proxy/discovery/ListWatch.java
@@ -33,10 +33,10 @@
     private static final long MAX_IMMEDIATE_REJECTION_US = TimeUnit.SECONDS.toMicros(1);
 
     /**
-     * If lists are pushed, a call that lasted at least this long is repeated without delay. Its own
-     * duration limits the rate of calls, and the list is out of use until the next response.
+     * If lists are pushed, a watch that lasted at least this long is resumed without delay, as the
+     * list is out of use until the next response. The duration limits the rate of calls.
      */
-    private static final long MIN_REPEAT_INTERVAL_US = TimeUnit.SECONDS.toMicros(1);
+    private static final long MIN_RESUME_INTERVAL_US = TimeUnit.SECONDS.toMicros(1);
 
     private static final int OK = 200;
 
@@ -400,9 +400,13 @@
         }
     }
 
-    /** Starts the next call after one that has ended, at once or after a delay. */
+    /**
+     * Starts the next call after one that has ended: at once after a watch, and after a random
+     * delay after a call that waited in vain. Calls that are rejected at the same time and repeated
+     * at the same time would be rejected together again.
+     */
     private void repeatAfter(Call ended) {
-        if (nowUs - ended.startedUs >= MIN_REPEAT_INTERVAL_US) {
+        if (ended.messageReceived && nowUs - ended.startedUs >= MIN_RESUME_INTERVAL_US) {
             startWatch(nowUs);
         } else {
             nextCallUs = nowUs + millisToMicros(backoff.nextDelayMs());
--- a/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
+++ b/src/test/java/passhatch/proxy/discovery/ListWatchTest.java
@@ -339,9 +339,9 @@
         assertEquals(1, rejections);
     }
 
-    /** Guards against seconds without a list: a pushed list is out of use without a watch. */
+    /** Guards against needless time without a list: a pushed list is out of use without a watch. */
     @Test
-    void whereListsArePushedACallThatLastedASecondIsRepeatedAtOnce() {
+    void whereListsArePushedAWatchThatLastedASecondIsResumedAtOnce() {
         watch = newWatch(false);
         openWatch();
         receive(message(8, true));
@@ -349,9 +349,21 @@
         watch.onClosed(now, call);
         assertEquals(1, lostWatches);
         assertEquals(2, requestedPaths.size(), "no call after the end of the watch");
+    }
+
+    /** Proxies whose calls are rejected together must not call again in the same moment. */
+    @Test
+    void whereListsArePushedACallThatWaitedInVainIsRepeatedAfterARandomDelay() {
+        watch = newWatch(false);
+        watch.startWatch(now);
         now += 3 * S;
         watch.onResponseHead(now, call, 503);
-        assertEquals(3, requestedPaths.size(), "no call after one that waited in vain");
+        assertEquals(1, requestedPaths.size());
+        long delayUs = wakeTimes.get(wakeTimes.size() - 1) - now;
+        assertTrue(delayUs >= 25 * MS && delayUs <= 75 * MS, delayUs + " us");
+        now += delayUs;
+        watch.onTimer(now);
+        assertEquals(2, requestedPaths.size());
     }
 
     /** A discovery service that ends each watch at once must not be called all the time. */
