--- a/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
+++ b/src/test/java/passhatch/lab/drain/DrainCheckerTest.java
@@ -171,6 +171,32 @@
         assertBound(record, 14 * SECOND_US, NotificationRule.PUSHED);
     }
 
+    @Test
+    void aPushedChangeMissedByASilentWatchIsDeemedNotifiedThreeSecondsAfterItFellSilent() {
+        DrainRecord record = recordWithDrain(true, 0);
+        record.add(new Call(PROXY, SECOND_US, 2 * SECOND_US, 9 * SECOND_US, 30 * SECOND_US, false));
+        assertBound(record, 12 * SECOND_US, NotificationRule.PUSHED);
+    }
+
+    @Test
+    void aPushedChangeMissedByASilentWatchIsDeemedNotifiedWhenTheWatchIsEnded() {
+        DrainRecord record = recordWithDrain(true, 0);
+        record.add(new Call(PROXY, SECOND_US, 2 * SECOND_US, 9 * SECOND_US, 11 * SECOND_US, false));
+        assertBound(record, 11 * SECOND_US, NotificationRule.PUSHED);
+    }
+
+    /** A call that never got a response confirms nothing, and a later response ends the silence. */
+    @Test
+    void aPushedChangeIsDeemedNotifiedAtOnceWithoutASilentWatch() {
+        DrainRecord unanswered = recordWithDrain(true, 0);
+        unanswered.add(new Call(PROXY, SECOND_US, NEVER, 9 * SECOND_US, 30 * SECOND_US, false));
+        assertBound(unanswered, 10 * SECOND_US, NotificationRule.PUSHED);
+        DrainRecord resumed = recordWithDrain(true, 0);
+        resumed.add(new Call(PROXY, SECOND_US, 2 * SECOND_US, 9 * SECOND_US, NEVER, false));
+        resumed.add(new Call(PROXY, 9 * SECOND_US, 10 * SECOND_US - 1, NEVER, NEVER, false));
+        assertBound(resumed, 10 * SECOND_US, NotificationRule.PUSHED);
+    }
+
     @Test
     void aServerThatIsListedAgainMayBeUsed() {
         DrainRecord record = recordOnRequest();
--- a/src/test/java/passhatch/lab/drill/DrainIT.java
+++ b/src/test/java/passhatch/lab/drill/DrainIT.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import passhatch.lab.standin.BackendServer;
 
@@ -27,11 +26,6 @@
     /** Somewhat less than the 3 s after which a silent watch times out. */
     private static final long SILENCE_BEFORE_ADDRESS_CHANGE_MS = 2_700;
 
-    /** How long requests are sent past the grace; a violation would show many times. */
-    private static final long BEYOND_GRACE_MS = 2_500;
-
-    private static final long REQUEST_INTERVAL_MS = 15;
-
     DrainIT() {
         super("asks = true", 2);
     }
@@ -46,24 +40,6 @@
         publishStatus(draining.name(), "DRAINING");
     }
 
-    /** As {@link #drainFirstBackend}, but the backend continues to accept requests. */
-    private void drainFirstBackendAccepting(long deemedNotifiedMs) {
-        BackendServer draining = testbed.backends.get(0);
-        draining.drainWhileAccepting(deemedNotifiedMs);
-        publishStatus(draining.name(), "DRAINING");
-    }
-
-    /** Sends requests for this time and returns how many of them were served. */
-    private int serveFor(long ms) throws InterruptedException {
-        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
-        int served = 0;
-        while (System.nanoTime() < endNs) {
-            served += requestStatus() == 200 ? 1 : 0;
-            Thread.sleep(REQUEST_INTERVAL_MS);
-        }
-        return served;
-    }
-
     @Test
     void noRequestReachesADrainingServerAfterARestartWhileDiscoveryRejectsCalls() throws Exception {
         assertEquals(200, requestStatus());
--- a/src/test/java/passhatch/lab/drill/OneProxyDrill.java
+++ b/src/test/java/passhatch/lab/drill/OneProxyDrill.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import passhatch.lab.Seeds;
 import passhatch.lab.load.ProxyPool;
+import passhatch.lab.standin.BackendServer;
 import passhatch.lab.standin.DiscoveryServer;
 
 /** Runs one real proxy process of the packaged program with stand-ins that fail on demand. */
@@ -29,6 +30,11 @@
     private static final Path JAR = Path.of("target/passhatch.jar").toAbsolutePath();
     private static final long TIMEOUT_MS = 20_000;
 
+    /** How long requests are sent past the grace; a violation would show many times. */
+    static final long BEYOND_GRACE_MS = 2_500;
+
+    private static final long REQUEST_INTERVAL_MS = 15;
+
     @TempDir private Path folder;
     private final String scenarioText;
     private final HttpClient http = HttpClient.newHttpClient();
@@ -147,4 +153,27 @@
                         new DiscoveryServer.Endpoint(
                                 name, testbed.backends.get(0).address(), status, 0)));
     }
+
+    /**
+     * Drains the first backend, which goes on accepting requests, and publishes that through
+     * discovery; the proxy gets no other notice.
+     *
+     * @param deemedNotifiedMs time from the drain until the proxy is deemed notified of it
+     */
+    void drainFirstBackendAccepting(long deemedNotifiedMs) {
+        BackendServer draining = testbed.backends.get(0);
+        draining.drainWhileAccepting(deemedNotifiedMs);
+        publishStatus(draining.name(), "DRAINING");
+    }
+
+    /** Sends requests for this time and returns how many of them were served. */
+    int serveFor(long ms) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        int served = 0;
+        while (System.nanoTime() < endNs) {
+            served += requestStatus() == 200 ? 1 : 0;
+            Thread.sleep(REQUEST_INTERVAL_MS);
+        }
+        return served;
+    }
 }
