--- a/src/main/java/passhatch/lab/drain/DiscoveryModel.java
+++ b/src/main/java/passhatch/lab/drain/DiscoveryModel.java
@@ -137,10 +137,8 @@
     private final UniformRandomProvider random;
     private final DrainRecord record;
     private final Consumer<String> timeline;
-    private final Map<String, String> statuses = new LinkedHashMap<>();
     private final Map<Long, OpenCall> calls = new LinkedHashMap<>();
-    private final List<Map<String, String>> history = new ArrayList<>();
-    private long version;
+    private final ListHistory history = new ListHistory();
     private int port = 8500;
     private Mode mode = Mode.WELL;
     private long downSinceUs;
@@ -172,7 +170,6 @@
         this.random = random;
         this.record = record;
         this.timeline = timeline;
-        history.add(Map.of());
     }
 
     InetSocketAddress address() {
@@ -180,11 +177,11 @@
     }
 
     String currentList() {
-        return listMessage(version);
+        return listMessage(history.version());
     }
 
     boolean isUp(String server) {
-        return "SERVING".equals(statuses.get(server));
+        return history.isUp(server);
     }
 
     Mode mode() {
@@ -195,12 +192,9 @@
 
     /** Sets the status of a server in a new version of the list: up, draining or removed. */
     void changeStatus(String server, String status) {
-        version++;
-        statuses.put(server, status);
-        history.add(new LinkedHashMap<>(statuses));
-        record.add(new Change(queue.nowUs(), version, server, status.equals("SERVING")));
-        timeline.accept("version " + version + ": " + server + " " + status);
-        long newVersion = version;
+        long newVersion = history.change(server, status);
+        record.add(new Change(queue.nowUs(), newVersion, server, history.isUp(server)));
+        timeline.accept("version " + newVersion + ": " + server + " " + status);
         for (OpenCall call : List.copyOf(calls.values())) {
             if (call.responseUs != DrainRecord.NEVER) {
                 call.pendingVersions.add(newVersion);
@@ -349,6 +343,7 @@
         }
         call.responseUs = queue.nowUs();
         call.scheduleInOrder(NETWORK_DELAY_US, () -> call.caller.onResponseHead(call.number, 200));
+        long version = history.version();
         int from = path.indexOf("from=");
         if (from < 0) {
             writeMessage(call, listMessage(version), version);
@@ -369,7 +364,10 @@
                         : version;
         boolean whole =
                 stale || knownVersion == 0 || knownVersion > version || random.nextInt(3) == 0;
-        writeMessage(call, whole ? listMessage(written) : changesMessage(knownVersion), written);
+        writeMessage(
+                call,
+                whole ? listMessage(written) : history.changesMessage(knownVersion, version),
+                written);
         queue.scheduleAfter(EMPTY_LINE_INTERVAL_US, () -> writeEmptyLine(call));
     }
 
@@ -384,7 +382,7 @@
     private void writePendingVersion(OpenCall call) {
         Long pending = call.pendingVersions.poll();
         if (pending != null && call.canWrite()) {
-            writeMessage(call, changesMessage(pending - 1, pending), pending);
+            writeMessage(call, history.changesMessage(pending - 1, pending), pending);
         }
     }
 
@@ -411,63 +409,11 @@
         return random.nextBoolean() ? Delivery.TRUNCATED : Delivery.CLOSED;
     }
 
-    // ---- messages
-
     /**
      * Returns a message with a whole version of the list. Draining servers are left out of a random
      * part of these messages; while lists are stale, they are left out of all.
      */
     private String listMessage(long listVersion) {
-        boolean omitDraining = staleLists || random.nextBoolean();
-        List<String> entries = new ArrayList<>();
-        history.get((int) listVersion)
-                .forEach(
-                        (server, status) -> {
-                            if (status.equals("SERVING")
-                                    || status.equals("DRAINING") && !omitDraining) {
-                                entries.add(formatEntry(server, status));
-                            }
-                        });
-        return formatMessage(listVersion, true, entries);
-    }
-
-    /** Returns a message with all changes after a version of the list. */
-    private String changesMessage(long after) {
-        return changesMessage(after, version);
-    }
-
-    /**
-     * Returns a message with the changes after one version of the list, up to and including another
-     * version.
-     */
-    private String changesMessage(long after, long upTo) {
-        List<String> entries = new ArrayList<>();
-        Map<String, String> current = history.get((int) upTo);
-        Map<String, String> before = history.get((int) after);
-        current.forEach(
-                (server, status) -> {
-                    if (!status.equals(before.get(server))) {
-                        entries.add(formatEntry(server, status));
-                    }
-                });
-        return formatMessage(upTo, false, entries);
-    }
-
-    private static String formatMessage(long index, boolean whole, List<String> entries) {
-        return "{\"index\":"
-                + index
-                + ",\"snapshot\":"
-                + whole
-                + ",\"endpoints\":["
-                + String.join(",", entries)
-                + "]}";
-    }
-
-    private static String formatEntry(String server, String status) {
-        return "{\"name\":\""
-                + server
-                + "\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"type\":\"m\",\"group\":0,\"status\":\""
-                + status
-                + "\",\"weight\":1.0,\"since_ms\":0}";
+        return history.listMessage(listVersion, staleLists || random.nextBoolean());
     }
 }
