--- a/src/test/java/passhatch/lab/soak/LeavingClientsIT.java
+++ b/src/test/java/passhatch/lab/soak/LeavingClientsIT.java
@@ -81,7 +81,7 @@
         startProxy(144);
         for (int round = 0; round < 4; round++) {
             openConnectionsToBackends();
-            testbed.process().signal("STOP");
+            suspendProcess();
             List<ProxyClient> clients = new ArrayList<>();
             List<ClientRequest> requests = new ArrayList<>();
             for (int c = 0; c < 60; c++) {
--- a/src/test/java/passhatch/lab/soak/ProxyProcessCase.java
+++ b/src/test/java/passhatch/lab/soak/ProxyProcessCase.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 import passhatch.lab.drill.ChildProcess;
@@ -17,6 +20,10 @@
 
     private static final Path JAR = Path.of("target/passhatch.jar").toAbsolutePath();
     static final int DESCRIPTORS = 1_024;
+    private static final long STOP_TIMEOUT_MS = 5_000;
+
+    /** The state of a stopped thread in its {@code stat} file, after the thread's name. */
+    private static final Pattern STOPPED = Pattern.compile("\\) T ");
 
     @TempDir private Path folder;
     ProxyTestbed testbed;
@@ -81,4 +88,30 @@
                                 + "; the proxy's log:\n"
                                 + testbed.process().logTail());
     }
+
+    /**
+     * Suspends the process and waits until none of its threads runs any more: the signal takes
+     * effect some time after it was sent, and a thread that still runs may handle a request
+     * meanwhile.
+     */
+    void suspendProcess() throws IOException, InterruptedException {
+        assertTrue(testbed.process().signal("STOP"));
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STOP_TIMEOUT_MS);
+        while (!allThreadsStopped()) {
+            assertTrue(System.nanoTime() < endNs, "the process was not suspended");
+            Thread.sleep(1);
+        }
+    }
+
+    private boolean allThreadsStopped() throws IOException {
+        Path threads = Path.of("/proc", Long.toString(testbed.process().pid()), "task");
+        try (Stream<Path> entries = Files.list(threads)) {
+            for (Path thread : entries.toList()) {
+                if (!STOPPED.matcher(Files.readString(thread.resolve("stat"))).find()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
 }
